--- /dev/null
+++ b/src/core/blackboard.ts
@@ -0,0 +1,74 @@
+import type {MemberRecord, PeerMessage} from '../types/messages.js';
+import type {Random} from '../utils/random.js';
+import {createConfigState, type ConfigState} from './config.js';
+import {createMemberTable, type MemberTable} from './membership.js';
+import {createReaderState, type ReaderState} from './reader.js';
+import {createRelayState, type RelayState} from './relay.js';
+import {createTimeline, type Timeline} from './timeline.js';
+
+/** Interval of the control tick, ms. */
+export const TICK_MS = 250;
+
+/** Side effect that a controller asks for; executed by the daemon. */
+export type Effect =
+  | {kind: 'send'; to: string; msg: PeerMessage}
+  | {kind: 'dial'; to: MemberRecord}
+  | {kind: 'close'; to: string; reason: string}
+  | {kind: 'readSource'; after: number; waitMs: number}
+  | {kind: 'readList'};
+
+/** An established link to a peer. */
+export interface Link {
+  readonly peer: string;
+  /** True when this daemon dialled. */
+  readonly dialled: boolean;
+  /** Monotonic time of the newest message, ms. */
+  heardAt: number;
+  /** Newest beat of the peer. */
+  beat?: Extract<PeerMessage, {t: 'beat'}>;
+}
+
+/** All control state of one daemon; controllers read and write it. */
+export interface Board {
+  /** Own member record; its incarnation and state change over time. */
+  self: MemberRecord;
+  readonly config: ConfigState;
+  readonly reader: ReaderState;
+  readonly relay: RelayState;
+  readonly members: MemberTable;
+  readonly links: Map<string, Link>;
+  readonly timeline: Timeline;
+  /** Counters by metric name; counters come before log lines. */
+  readonly counters: Map<string, number>;
+  readonly random: Random;
+  /** Monotonic start time, ms. */
+  readonly startedAt: number;
+  /** True while the view is too old to act on. */
+  viewStale: boolean;
+}
+
+/** Creates the state of a daemon that has just started. */
+export function createBoard(
+  self: MemberRecord,
+  random: Random,
+  now: number,
+): Board {
+  return {
+    self,
+    config: createConfigState(),
+    reader: createReaderState(),
+    relay: createRelayState(),
+    members: createMemberTable(),
+    links: new Map(),
+    timeline: createTimeline(self.id, self.incarnation),
+    counters: new Map(),
+    random,
+    startedAt: now,
+    viewStale: false,
+  };
+}
+
+/** Adds to a counter. */
+export function count(board: Board, name: string, by = 1): void {
+  board.counters.set(name, (board.counters.get(name) ?? 0) + by);
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,2 @@
+/** Public API of the library. */
+export * from './internal.js';
--- /dev/null
+++ b/src/types/headers.ts
@@ -0,0 +1,25 @@
+/** Names of the HTTP headers that daemons and customers exchange. */
+export const HEADERS = {
+  id: 'berylbend-id',
+  deadlineMs: 'berylbend-deadline-ms',
+  depth: 'berylbend-depth',
+  budget: 'berylbend-budget',
+  route: 'berylbend-route',
+  priority: 'berylbend-priority',
+  version: 'berylbend-version',
+  fingerprint: 'berylbend-fingerprint',
+  hlc: 'berylbend-hlc',
+  auth: 'berylbend-auth',
+  verdict: 'berylbend-verdict',
+  reason: 'berylbend-reason',
+  load: 'berylbend-load',
+  boot: 'berylbend-boot',
+  shed: 'berylbend-shed',
+  key: 'idempotency-key',
+} as const;
+
+/** Path under which a daemon accepts forwarded requests on its peer port. */
+export const FORWARD_PREFIX = '/forward';
+
+/** Path at which customers obtain a bound idempotency key. */
+export const KEYS_PATH = '/.well-known/berylbend/keys';
