--- a/src/internal.ts
+++ b/src/internal.ts
@@ -12,6 +12,7 @@
 export * from './utils/random.js';
 export * from './utils/backoff.js';
 export * from './utils/hlc.js';
+export * from './utils/auth.js';
 export * from './core/timeline.js';
 export * from './core/config.js';
 export * from './core/reader.js';
