--- /dev/null
+++ b/__tests__/retry.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  MAX_DEPTH,
+  OUTCOMES,
+  RETRY_BUDGET,
+  combineOutcomes,
+  computeTimeout,
+  decideRetry,
+  outcomeForBoundKey,
+  parseBudget,
+  parseDepth,
+  type Outcome,
+} from '../src/internal.js';
+
+const ALL = Object.keys(OUTCOMES) as Outcome[];
+const ASK = {budget: 2, tried: 1, remainingMs: 1_000};
+
+test('only a request that did not run, or may run twice, is sent again', t => {
+  for (const outcome of ALL) {
+    const again = decideRetry({...ASK, outcome, idempotent: false});
+    if (again) t.is(OUTCOMES[outcome].verdict, 'notRun', outcome);
+  }
+  const retried = (idempotent: boolean) =>
+    ALL.filter(outcome => decideRetry({...ASK, outcome, idempotent}));
+  t.snapshot({booking: retried(false), read: retried(true)});
+});
+
+test('no retry without budget, without time, or after too many attempts', t => {
+  const ask = {...ASK, outcome: 'full', idempotent: true} as const;
+  t.true(decideRetry(ask));
+  t.false(decideRetry({...ask, budget: 0}));
+  t.false(decideRetry({...ask, remainingMs: 4}));
+  t.false(decideRetry({...ask, tried: 3}));
+});
+
+test('a request that crashed an upstream is retried once at most', t => {
+  const ask = {...ASK, outcome: 'upstreamCrashed', idempotent: true} as const;
+  t.true(decideRetry({...ask, crashes: 1}));
+  t.false(decideRetry({...ask, crashes: 2}));
+  t.false(decideRetry({...ask, crashes: 1, suspect: true}));
+  t.false(decideRetry({...ask, outcome: 'connectionBroken', suspect: true}));
+  t.true(decideRetry({...ask, outcome: 'full', suspect: true}));
+});
+
+/** Runs of the last hop when every attempt of every hop fails. */
+function countRuns(hops: number, budget: number): number {
+  if (hops === 0) return 1;
+  let runs = 0;
+  let left = budget;
+  for (let tried = 1; ; tried++) {
+    runs += countRuns(hops - 1, parseBudget(String(left)) ?? 0);
+    const ask = {...ASK, outcome: 'connectionBroken', tried} as const;
+    if (!decideRetry({...ask, idempotent: true, budget: left})) return runs;
+    left--;
+  }
+}
+
+test('retries do not multiply through six hops', t => {
+  // All ways to spend two retries on six hops, against 4^6 = 4,096 for three
+  // blind retries at each hop.
+  t.is(countRuns(MAX_DEPTH, RETRY_BUDGET), 28);
+  t.is(countRuns(MAX_DEPTH, 0), 1);
+});
+
+test('a caller cannot raise the budget, the depth or the deadline', t => {
+  t.is(parseBudget(undefined), RETRY_BUDGET);
+  t.is(parseBudget('999'), RETRY_BUDGET);
+  t.is(parseBudget('0'), 0);
+  t.is(computeTimeout(500, '90000'), 500);
+  t.is(computeTimeout(500, '20'), 20);
+  t.is(parseDepth(undefined), 0);
+  for (const bad of ['', '-1', '1.5', 'x', '1, 2', '1e3', '9999999999']) {
+    t.is(parseBudget(bad), undefined, bad);
+    t.is(parseDepth(bad), undefined, bad);
+    t.is(computeTimeout(500, bad), undefined, bad);
+  }
+});
+
+test('a refusal after an attempt that may have run does not say not run', t => {
+  const outcomes = fc.array(fc.constantFrom(...ALL), {minLength: 1});
+  fc.assert(
+    fc.property(outcomes, series => {
+      const reported = series.reduce<Outcome | undefined>(
+        combineOutcomes,
+        undefined,
+      );
+      if (reported === undefined) return false;
+      const allNotRun = series.every(o => OUTCOMES[o].verdict === 'notRun');
+      return (OUTCOMES[reported].verdict === 'notRun') === allNotRun;
+    }),
+    {seed: 21, numRuns: 200},
+  );
+  t.pass();
+});
+
+test('a bound key that no owner vouched for is never reported as not run', t => {
+  for (const outcome of ALL) {
+    const reported = outcomeForBoundKey(outcome);
+    t.not(OUTCOMES[reported].verdict, 'notRun', outcome);
+  }
+});
--- /dev/null
+++ b/__tests__/support/owner_fake.ts
@@ -0,0 +1,361 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  FORWARD_PREFIX,
+  HEADERS,
+  createBoard,
+  createRandom,
+  handleCrash,
+  verify,
+  type Board,
+  type Document,
+  type Effect,
+  type MemberRecord,
+  type Outcome,
+} from '../../src/internal.js';
+import {
+  createEntry,
+  type Entry,
+  type EntryDeps,
+} from '../../src/daemon/entry.js';
+import {sendRefusal} from '../../src/daemon/http.js';
+
+/** Shared key of the daemons under test. */
+export const PEER_KEY = 'test-key-of-16-chars';
+
+/** One request as an owner or upstream received it. */
+export interface Seen {
+  readonly label: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly target: string;
+  readonly body: string;
+}
+
+/** What an owner does with a request; a function answers by itself. */
+export type Step =
+  | 'answer'
+  | 'resetBefore'
+  | 'resetAfter'
+  | 'cut'
+  | 'crossed'
+  | 'crash'
+  | Outcome
+  | ((res: ServerResponse, seen: Seen) => void);
+
+/** One run of a request at an upstream: the ledger of the audits. */
+export interface Run {
+  readonly label: string;
+  readonly upstream: string;
+}
+
+/** An owner with its upstream; also answers direct calls as the upstream. */
+export interface OwnerFake {
+  readonly record: MemberRecord;
+  readonly seen: Seen[];
+  step: (seen: Seen) => Step;
+  /** True after a crash; the upstream then runs nothing. */
+  crashed: boolean;
+  stop(): Promise<void>;
+  start(): Promise<void>;
+}
+
+/** Starts an owner on loopback that writes its runs to the ledger. */
+export async function startOwner(
+  ledger: Run[],
+  record: Partial<MemberRecord> & {id: string},
+): Promise<OwnerFake> {
+  const owner: OwnerFake = {
+    record: createRecord(record),
+    seen: [],
+    step: () => 'answer',
+    crashed: false,
+    start: () => listen(server, owner.record.peerPort),
+    stop: () => closeServer(server),
+  };
+  const server = http.createServer((req, res) => {
+    void readAll(req).then(body => serve(owner, ledger, req, res, body));
+  });
+  await listen(server, 0);
+  owner.record.peerPort = (server.address() as AddressInfo).port;
+  return owner;
+}
+
+async function readAll(req: IncomingMessage): Promise<string> {
+  let body = '';
+  try {
+    for await (const chunk of req) body += String(chunk);
+  } catch {
+    // The entry has gone; there is nothing to answer.
+  }
+  return body;
+}
+
+function serve(
+  owner: OwnerFake,
+  ledger: Run[],
+  req: IncomingMessage,
+  res: ServerResponse,
+  body: string,
+): void {
+  const {headers} = req;
+  const label = String(headers['x-label'] ?? '');
+  const seen = {label, headers, target: req.url ?? '', body};
+  owner.seen.push(seen);
+  const forwarded = seen.target.startsWith(FORWARD_PREFIX);
+  if (forwarded && !isAuthentic(headers)) return void res.destroy();
+  let step = owner.step(seen);
+  if (owner.crashed) step = 'upstreamDown';
+  const id = String(headers[HEADERS.id] ?? '');
+  const run = () => ledger.push({label, upstream: owner.record.id});
+  const head = (extra: Record<string, string | number> = {}) =>
+    res.writeHead(200, {
+      [HEADERS.id]: step === 'crossed' ? 'another-request' : id,
+      [HEADERS.verdict]: 'ran',
+      [HEADERS.load]: '8,1,0,0',
+      ...extra,
+    });
+  if (typeof step === 'function') return step(res, seen);
+  switch (step) {
+    case 'resetBefore':
+      return void res.destroy();
+    case 'resetAfter':
+      run();
+      return void res.destroy();
+    case 'cut':
+      run();
+      head({'content-length': 100}).write('part');
+      return void setImmediate(() => res.destroy());
+    case 'crash':
+      run();
+      owner.crashed = true;
+      if (!forwarded) return void res.destroy();
+      return sendRefusal(res, 'upstreamCrashed', id);
+    case 'answer':
+    case 'crossed':
+      run();
+      return void head().end(`answer to ${label}`);
+    default:
+      return sendRefusal(res, step, id);
+  }
+}
+
+function isAuthentic(headers: http.IncomingHttpHeaders): boolean {
+  const read = (name: string) => String(headers[name] ?? '');
+  return verify(
+    PEER_KEY,
+    read(HEADERS.auth),
+    read(HEADERS.id),
+    read(HEADERS.route),
+    read(HEADERS.fingerprint),
+    read(HEADERS.key),
+    read(HEADERS.deadlineMs),
+  );
+}
+
+function listen(server: http.Server, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, '127.0.0.1', resolve);
+  });
+}
+
+function closeServer(server: http.Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
+
+/** Member record with defaults: service `shop` in data centre `dc-a`. */
+export function createRecord(
+  fields: Partial<MemberRecord> & {id: string},
+): MemberRecord {
+  return {
+    incarnation: 1,
+    boot: '00000000000000b1',
+    dataCentre: 'dc-a',
+    region: 'r1',
+    service: 'shop',
+    host: '127.0.0.1',
+    customerPort: 1,
+    peerPort: 1,
+    state: 'live',
+    ...fields,
+  };
+}
+
+/** Document with an idempotent read and a non-idempotent booking route. */
+export function createDocument(out: string[] = []): Document {
+  const state = (name: string) => (out.includes(name) ? 'out' : 'in');
+  const service = {slots: 8, connections: 100, downloadShare: 0.5};
+  const dataCentres = ['dc-a', 'dc-b', 'dc-c'];
+  const route = {service: 'shop', timeoutMs: 10_000};
+  return {
+    dataCentres: {
+      'dc-a': {region: 'r1', state: state('dc-a')},
+      'dc-b': {region: 'r1', state: state('dc-b')},
+      'dc-c': {region: 'r2', state: state('dc-c')},
+    },
+    services: {
+      shop: {...service, dataCentres, expectedMs: 50},
+      idle: {...service, dataCentres, expectedMs: 50},
+    },
+    routes: {
+      read: {
+        ...route,
+        pathPrefix: '/read',
+        methods: ['GET', 'HEAD'],
+        idempotent: true,
+        priority: 'read',
+      },
+      book: {
+        ...route,
+        pathPrefix: '/book',
+        methods: ['POST'],
+        idempotent: false,
+        priority: 'booking',
+      },
+      idle: {
+        ...route,
+        service: 'idle',
+        pathPrefix: '/idle',
+        methods: ['GET'],
+        idempotent: true,
+        priority: 'read',
+      },
+    },
+  };
+}
+
+/** An entry that listens on loopback. */
+export interface EntryFixture {
+  readonly board: Board;
+  readonly entry: Entry;
+  readonly port: number;
+  /** Monotonic time of the entry, ms; moved by the test. */
+  now: number;
+  /** Entries that get this one's crash reports. */
+  peers: EntryFixture[];
+  stop(): Promise<void>;
+}
+
+/** Starts an entry in `dc-a` that knows the given members. */
+export async function startEntry(
+  members: readonly MemberRecord[],
+  options: {id?: string; seed?: number; deps?: Partial<EntryDeps>} = {},
+): Promise<EntryFixture> {
+  const {id = 'entry', seed = 1} = options;
+  const self = createRecord({id, service: 'none'});
+  const board = createBoard(self, createRandom(seed), 0);
+  setDocument(board, 1, createDocument());
+  const fixture: EntryFixture = {
+    board,
+    entry: createEntry({
+      board,
+      key: PEER_KEY,
+      random: createRandom(seed),
+      now: () => fixture.now,
+      listMembers: service => members.filter(m => m.service === service),
+      mintKey: owner => `bk1~${owner.id}~${owner.boot}~mac`,
+      parseKey: text => {
+        const [tag, owner, , mac] = text.split('~');
+        return tag === 'bk1' && mac === 'mac' ? {owner} : undefined;
+      },
+      execute: effects => deliver(fixture, effects),
+      ...options.deps,
+    }),
+    port: 0,
+    now: 0,
+    peers: [],
+    async stop() {
+      await fixture.entry.stop();
+      await closeServer(server);
+    },
+  };
+  const server = http.createServer(fixture.entry);
+  server.on('clientError', fixture.entry.handleClientError);
+  await listen(server, 0);
+  const {port} = server.address() as AddressInfo;
+  return Object.assign(fixture, {port});
+}
+
+/** Links entries, so that crash reports pass between them at once. */
+export function linkEntries(fixtures: readonly EntryFixture[]): void {
+  for (const fixture of fixtures) {
+    fixture.peers = fixtures.filter(other => other !== fixture);
+    for (const {board} of fixture.peers) {
+      const peer = board.self.id;
+      fixture.board.links.set(peer, {peer, dialled: true, heardAt: 0});
+    }
+  }
+}
+
+function deliver(from: EntryFixture, effects: Effect[]): void {
+  for (const effect of effects) {
+    if (effect.kind !== 'send' || effect.msg.t !== 'crash') continue;
+    const peer = from.peers.find(({board}) => board.self.id === effect.to);
+    if (!peer) continue;
+    const sender = from.board.self.id;
+    deliver(peer, handleCrash(peer.board, sender, effect.msg, peer.now));
+  }
+}
+
+/** Puts a document in force as a version. */
+export function setDocument(
+  board: Board,
+  version: number,
+  document: Document,
+): void {
+  const digest = '0'.repeat(32);
+  board.config.inForce = {version, digest, index: version, document};
+}
+
+/** Answer as a customer saw it; status 0 when the connection was cut. */
+export interface Reply {
+  readonly status: number;
+  readonly verdict: string;
+  readonly reason: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** Sends a customer request over a connection of its own. */
+export function call(
+  port: number,
+  method: string,
+  path: string,
+  options: {headers?: Record<string, string>; body?: string} = {},
+): Promise<Reply> {
+  const cut = (headers: http.IncomingHttpHeaders = {}): Reply => ({
+    status: 0,
+    verdict: 'may-have-run',
+    reason: 'cut',
+    headers,
+    body: '',
+  });
+  return new Promise(resolve => {
+    const {headers, body} = options;
+    const req = http.request({port, method, path, headers, agent: false});
+    req.on('error', () => resolve(cut()));
+    req.on('response', res => {
+      let text = '';
+      res.on('data', chunk => (text += String(chunk)));
+      res.on('error', () => resolve(cut(res.headers)));
+      res.on('end', () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          verdict: String(res.headers[HEADERS.verdict] ?? ''),
+          reason: String(res.headers[HEADERS.reason] ?? ''),
+          headers: res.headers,
+          body: text,
+        }),
+      );
+    });
+    req.end(body);
+  });
+}
+
+/** Waits for a condition without a timer, so that fake clocks do not matter. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/__tests__/suspects.test.ts
@@ -0,0 +1,196 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  CRASH_MEMORY_MS,
+  MAX_SUSPECTS,
+  REFUSAL_MAX_MS,
+  REFUSAL_MIN_MS,
+  SAME_CRASH_MS,
+  SUSPECT_HOLD_MS,
+  beginAlone,
+  computeFingerprint,
+  createBoard,
+  createRandom,
+  createSuspects,
+  endAlone,
+  handleCrash,
+  judgeRequest,
+  noteCrashes,
+  noteFinished,
+  reportCrash,
+  type Board,
+  type CrashReport,
+  type Effect,
+} from '../src/internal.js';
+import {createRecord} from './support/owner_fake.js';
+
+const FP = 'a'.repeat(32);
+
+function crash(upstream: string, fields: Partial<CrashReport> = {}) {
+  const base = {fingerprint: FP, service: 'shop', crashes: 1, ageMs: 0};
+  return {...base, upstream, ...fields};
+}
+
+function createMesh(size: number): Board[] {
+  const boards = Array.from({length: size}, (_, i) =>
+    createBoard(createRecord({id: `d${i}`}), createRandom(i), 0),
+  );
+  for (const board of boards) {
+    for (const {self} of boards) {
+      if (self.id === board.self.id) continue;
+      board.links.set(self.id, {peer: self.id, dialled: true, heardAt: 0});
+    }
+  }
+  return boards;
+}
+
+/** Delivers effects until none is left; returns the number of messages. */
+function deliver(boards: Board[], from: Board, first: Effect[], now: number) {
+  const queue = first.map(effect => ({from, effect}));
+  let messages = 0;
+  for (let next = queue.shift(); next; next = queue.shift()) {
+    const {effect} = next;
+    if (effect.kind !== 'send' || effect.msg.t !== 'crash') continue;
+    const to = boards.find(({self}) => self.id === effect.to);
+    if (!to) continue;
+    messages++;
+    const out = handleCrash(to, next.from.self.id, effect.msg, now);
+    queue.push(...out.map(e => ({from: to, effect: e})));
+  }
+  return messages;
+}
+
+test('requests that differ in method, target or body are told apart', t => {
+  const of = (method: string, target: string, body: string) =>
+    computeFingerprint(method, target, Buffer.from(body));
+  const all = [
+    of('GET', '/a', ''),
+    of('POST', '/a', ''),
+    of('GET', '/a?b', ''),
+    of('GET', '/a', 'b'),
+    of('GET', '/a\nb', ''),
+  ];
+  t.is(new Set(all).size, all.length);
+  t.regex(all[0], /^[0-9a-f]{32}$/);
+});
+
+test('a request with one crash is sent alone, and freely again after 10 s', t => {
+  const state = createSuspects();
+  t.is(judgeRequest(state, FP, 0).action, 'send');
+  noteCrashes(state, [crash('u1')], 0);
+  t.is(judgeRequest(state, FP, 0).action, 'alone');
+  beginAlone(state, FP);
+  t.is(judgeRequest(state, FP, 1).action, 'wait');
+  endAlone(state, FP);
+  t.is(judgeRequest(state, FP, SUSPECT_HOLD_MS).action, 'alone');
+  t.is(judgeRequest(state, FP, SUSPECT_HOLD_MS + 1).action, 'send');
+});
+
+test('a request with two crashes is refused, for 60 s doubling to 10 min', t => {
+  const state = createSuspects();
+  noteCrashes(state, [crash('u0')], 0);
+  let now = SAME_CRASH_MS + 1;
+  const refusals: number[] = [];
+  for (let i = 1; i <= 6; i++) {
+    noteCrashes(state, [crash(`u${i}`)], now);
+    const {action, retryAfterMs} = judgeRequest(state, FP, now);
+    t.is(action, 'refuse');
+    refusals.push(retryAfterMs);
+    now += retryAfterMs;
+    t.is(judgeRequest(state, FP, now).action, 'alone', 'one run decides');
+  }
+  t.is(refusals[0], REFUSAL_MIN_MS);
+  t.deepEqual(refusals.slice(1, 4), [120_000, 240_000, 480_000]);
+  t.is(Math.max(...refusals), REFUSAL_MAX_MS);
+});
+
+test('a customer who resends slowly is refused all the same', t => {
+  const state = createSuspects();
+  noteCrashes(state, [crash('u1')], 0);
+  noteCrashes(state, [crash('u2')], SUSPECT_HOLD_MS * 3);
+  t.is(judgeRequest(state, FP, SUSPECT_HOLD_MS * 3).action, 'refuse');
+});
+
+test('a read in flight at a mass crash is not refused', t => {
+  const state = createSuspects();
+  const reports = ['u1', 'u2', 'u3', 'u4'].map(u => crash(u));
+  t.is(noteCrashes(state, reports, 0).length, 4);
+  t.is(judgeRequest(state, FP, 0).action, 'alone');
+  noteFinished(state, FP, 20);
+  t.is(judgeRequest(state, FP, 20).action, 'send');
+});
+
+test('an old copy of a report does not hold a cleared request again', t => {
+  const state = createSuspects();
+  noteCrashes(state, [crash('u1')], 0);
+  noteFinished(state, FP, 10);
+  t.deepEqual(noteCrashes(state, [crash('u1')], 20), []);
+  noteCrashes(state, [crash('u2', {ageMs: 25})], 20);
+  t.is(judgeRequest(state, FP, 20).action, 'send', 'crashed before the run');
+  noteCrashes(state, [crash('u3')], 2_000);
+  t.is(judgeRequest(state, FP, 2_000).action, 'alone', 'crashed after it');
+});
+
+test('a second crash of the same upstream counts when it was sent alone', t => {
+  const [board] = createMesh(1);
+  const seen = {fingerprint: FP, service: 'shop', upstream: 'u1'};
+  reportCrash(board, {...seen, knownBefore: 0}, 0);
+  t.is(judgeRequest(board.suspects, FP, 5).action, 'alone');
+  reportCrash(board, {...seen, knownBefore: 1}, 10);
+  t.is(judgeRequest(board.suspects, FP, 10).action, 'refuse');
+});
+
+test('reports reach every daemon, and copies of them die out', t => {
+  const boards = createMesh(6);
+  const [first] = boards;
+  const seen = {fingerprint: FP, service: 'shop', upstream: 'u1'};
+  const out = reportCrash(first, {...seen, knownBefore: 1}, 0);
+  const messages = deliver(boards, first, out, 0);
+  for (const board of boards) {
+    t.is(judgeRequest(board.suspects, FP, 0).action, 'refuse');
+  }
+  // Each daemon passes a new report on once: at most one message per link end.
+  t.true(messages <= 6 * 5, String(messages));
+  // Daemons that have cleared it do not pass copies on either.
+  boards.forEach(board => noteFinished(board.suspects, FP, 1));
+  const copy = {t: 'crash', reports: [crash('u1', {crashes: 2})]} as const;
+  t.deepEqual(
+    handleCrash(first, 'd1', {...copy, reports: [...copy.reports]}, 2),
+    [],
+  );
+});
+
+test('any series of reports keeps the memory bounded and refusals finite', t => {
+  const report = fc.record({
+    fingerprint: fc.nat({max: 3}).map(n => String(n).repeat(32)),
+    upstream: fc.nat({max: 40}).map(n => `u${n}`),
+    crashes: fc.integer({min: 1, max: 3}),
+    ageMs: fc.nat({max: 20_000}),
+  });
+  const step = fc.record({report, waitMs: fc.nat({max: 5_000})});
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 80}), steps => {
+      const state = createSuspects();
+      let now = 50_000;
+      for (const {report: given, waitMs} of steps) {
+        now += waitMs;
+        noteCrashes(state, [{...given, service: 'shop'}], now);
+        const {retryAfterMs} = judgeRequest(state, given.fingerprint, now);
+        if (retryAfterMs > REFUSAL_MAX_MS) return false;
+      }
+      const end = now + REFUSAL_MAX_MS + CRASH_MEMORY_MS + 1;
+      const sizes = [...state.byFingerprint].map(([, s]) => s.upstreams.size);
+      const free = [...state.byFingerprint.keys()].every(
+        fp => judgeRequest(state, fp, end).action === 'send',
+      );
+      return free && Math.max(0, ...sizes) <= 16;
+    }),
+    {seed: 31, numRuns: 100},
+  );
+  const state = createSuspects();
+  for (let i = 0; i < MAX_SUSPECTS + 500; i++) {
+    const fingerprint = i.toString(16).padStart(32, '0');
+    noteCrashes(state, [crash('u', {fingerprint})], i);
+  }
+  t.is(state.byFingerprint.size, MAX_SUSPECTS);
+});
--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -4,6 +4,8 @@
 import {createMemberTable, type MemberTable} from './membership.js';
 import {createReaderState, type ReaderState} from './reader.js';
 import {createRelayState, type RelayState} from './relay.js';
+import {createRoutingState, type RoutingState} from './routing.js';
+import {createSuspects, type Suspects} from './suspects.js';
 import {createTimeline, type Timeline} from './timeline.js';
 
 /** Interval of the control tick, ms. */
@@ -36,6 +38,8 @@
   readonly reader: ReaderState;
   readonly relay: RelayState;
   readonly members: MemberTable;
+  readonly routing: RoutingState;
+  readonly suspects: Suspects;
   readonly links: Map<string, Link>;
   readonly timeline: Timeline;
   /** Counters by metric name; counters come before log lines. */
@@ -59,6 +63,8 @@
     reader: createReaderState(),
     relay: createRelayState(),
     members: createMemberTable(),
+    routing: createRoutingState(),
+    suspects: createSuspects(),
     links: new Map(),
     timeline: createTimeline(self.id, self.incarnation),
     counters: new Map(),
--- /dev/null
+++ b/src/core/retry.ts
@@ -0,0 +1,106 @@
+import {OUTCOMES, type Outcome} from '../types/verdict.js';
+
+/** Retries that a customer request and all its nested calls share. */
+export const RETRY_BUDGET = 2;
+
+/** Hops that a chain of nested calls may have. */
+export const MAX_DEPTH = 6;
+
+/** A retry is not worth sending with less time than this left, ms. */
+export const MIN_RETRY_MS = 5;
+
+/** What is known when an attempt has failed. */
+export interface RetryQuestion {
+  readonly outcome: Outcome;
+  /** True when the route allows a request to run more than once. */
+  readonly idempotent: boolean;
+  /** Retries left for the whole chain. */
+  readonly budget: number;
+  /** Attempts made so far, the failed one included. */
+  readonly tried: number;
+  readonly remainingMs: number;
+  /** Attempts that ended with a crashed upstream, this one included. */
+  readonly crashes?: number;
+  /** True when the request had crashed an upstream before this attempt. */
+  readonly suspect?: boolean;
+}
+
+/** Decides by the outcome table whether to send a request once more. */
+export function decideRetry(question: RetryQuestion): boolean {
+  const {outcome, idempotent, budget, tried, remainingMs} = question;
+  if (budget <= 0 || tried > RETRY_BUDGET) return false;
+  if (remainingMs < MIN_RETRY_MS) return false;
+  const rule = OUTCOMES[outcome];
+  // A refusal before the run cannot crash an upstream; anything else might.
+  if (question.suspect && rule.verdict !== 'notRun') return false;
+  switch (rule.retry) {
+    case 'always':
+      return true;
+    case 'idempotent':
+      return idempotent;
+    case 'idempotentOnce':
+      return idempotent && (question.crashes ?? 1) <= 1;
+    case 'never':
+      return false;
+  }
+}
+
+/**
+ * Reads the `berylbend-budget` header: the whole budget when absent, undefined
+ * when malformed. A value above the budget is lowered, so no caller gains any.
+ */
+export function parseBudget(text: string | undefined): number | undefined {
+  if (text === undefined) return RETRY_BUDGET;
+  if (!/^\d{1,3}$/.test(text)) return undefined;
+  return Math.min(RETRY_BUDGET, Number(text));
+}
+
+/** Reads the `berylbend-depth` header: 0 when absent, undefined if malformed. */
+export function parseDepth(text: string | undefined): number | undefined {
+  if (text === undefined) return 0;
+  return /^\d{1,3}$/.test(text) ? Number(text) : undefined;
+}
+
+/**
+ * Computes the time a request may take, ms: the lower of the route's timeout
+ * and the caller's remaining time; undefined when the header is malformed.
+ */
+export function computeTimeout(
+  routeTimeoutMs: number,
+  text: string | undefined,
+): number | undefined {
+  if (text === undefined) return routeTimeoutMs;
+  if (!/^\d{1,9}$/.test(text)) return undefined;
+  return Math.min(routeTimeoutMs, Number(text));
+}
+
+/**
+ * Outcome to report after a failed attempt. Once an attempt may have run, a
+ * later refusal must not make the request look as if it had not run.
+ */
+export function combineOutcomes(
+  earlier: Outcome | undefined,
+  latest: Outcome,
+): Outcome {
+  if (earlier === undefined) return latest;
+  const mayHaveRun = OUTCOMES[earlier].verdict !== 'notRun';
+  return mayHaveRun && OUTCOMES[latest].verdict === 'notRun' ? earlier : latest;
+}
+
+/**
+ * Outcome to report for a request with a bound key that no owner vouched for.
+ * An earlier attempt with the same key may have run, so an entry that did not
+ * hear from the owner must not report the key as not run.
+ */
+export function outcomeForBoundKey(outcome: Outcome): Outcome {
+  if (OUTCOMES[outcome].verdict !== 'notRun') return outcome;
+  switch (outcome) {
+    case 'deadlineBeforeSend':
+      return 'deadlineAfterSend';
+    case 'connectFailed':
+    case 'noUpstream':
+      return 'keyOwnerGone';
+    default:
+      return 'keyMayHaveRun';
+  }
+}
--- /dev/null
+++ b/src/core/suspects.ts
@@ -0,0 +1,278 @@
+import {createHash} from 'node:crypto';
+import type {CrashReport, MessageOf} from '../types/messages.js';
+import {count, type Board, type Effect} from './blackboard.js';
+import {recordEvent} from './timeline.js';
+
+/** Crashes after which a request is refused. */
+export const CRASH_BUDGET = 2;
+
+/** Time for which a request with one crash is sent alone, ms. */
+export const SUSPECT_HOLD_MS = 10_000;
+
+/**
+ * Crashes closer together than this count as one, ms: copies of one request
+ * that were already in flight, or one fault that stops several upstreams.
+ */
+export const SAME_CRASH_MS = 500;
+
+/** First refusal, ms; doubles with each further crash. */
+export const REFUSAL_MIN_MS = 60_000;
+
+/** Longest refusal, ms. */
+export const REFUSAL_MAX_MS = 600_000;
+
+/**
+ * Time for which a crash is remembered, ms. The count outlives the hold, so
+ * that a customer who resends slowly does not crash an upstream each time.
+ */
+export const CRASH_MEMORY_MS = 600_000;
+
+/** Fingerprints remembered; the oldest are dropped. */
+export const MAX_SUSPECTS = 2_000;
+
+/** Crashed upstreams remembered per fingerprint. */
+const MAX_UPSTREAMS = 16;
+
+/** Hex digits of a fingerprint. */
+const FINGERPRINT_DIGITS = 32;
+
+interface Suspect {
+  /** Crashes that count; 0 after the request has completed. */
+  crashes: number;
+  /** Monotonic time of the newest crash that counts, ms. */
+  crashedAt: number;
+  /** Newest known crash of each upstream: monotonic ms and reported count. */
+  upstreams: Map<string, {at: number; crashes: number}>;
+  /** Runs in progress that were sent alone, from this daemon. */
+  running: number;
+  /** Monotonic time up to which the request is refused, ms. */
+  refusedUntil: number;
+  refusalMs: number;
+  /** Monotonic time of the newest completed run, ms. */
+  finishedAt: number;
+}
+
+/** Requests in flight when upstreams crashed, by fingerprint. */
+export interface Suspects {
+  readonly byFingerprint: Map<string, Suspect>;
+}
+
+/** Creates the state of a daemon that knows of no crash. */
+export function createSuspects(): Suspects {
+  return {byFingerprint: new Map()};
+}
+
+/** Identifies a request by method, path with query, and body. */
+export function computeFingerprint(
+  method: string,
+  target: string,
+  body: Uint8Array,
+): string {
+  return createHash('sha256')
+    .update(`${method} ${target}\n`)
+    .update(body)
+    .digest('hex')
+    .slice(0, FINGERPRINT_DIGITS);
+}
+
+/** Takes in reports; returns those that were not known yet. */
+export function noteCrashes(
+  state: Suspects,
+  reports: readonly CrashReport[],
+  now: number,
+): CrashReport[] {
+  return reports.filter(report => noteCrash(state, report, now));
+}
+
+function noteCrash(state: Suspects, report: CrashReport, now: number): boolean {
+  if (report.ageMs > CRASH_MEMORY_MS) return false;
+  const at = now - report.ageMs;
+  const suspect = findOrCreate(state, report.fingerprint, now);
+  const known = suspect.upstreams.get(report.upstream);
+  const repeated = known !== undefined && at - known.at <= SUSPECT_HOLD_MS;
+  // Without this, copies of a cleared report would circulate in the mesh.
+  if (repeated && report.crashes <= known.crashes) return false;
+  noteUpstream(suspect, report, repeated ? known.at : at);
+  // A run completed after this crash, so the request was not its cause.
+  if (suspect.finishedAt >= at) return true;
+  const separate =
+    suspect.crashes === 0 || at - suspect.crashedAt > SAME_CRASH_MS;
+  const counted = suspect.crashes + (separate && !repeated ? 1 : 0);
+  const crashes = Math.max(counted, report.crashes);
+  suspect.crashedAt = Math.max(suspect.crashedAt, at);
+  if (crashes > suspect.crashes) raiseCrashes(suspect, crashes, now);
+  return true;
+}
+
+function raiseCrashes(suspect: Suspect, crashes: number, now: number): void {
+  suspect.crashes = crashes;
+  if (crashes < CRASH_BUDGET || now < suspect.refusedUntil) return;
+  const doubled = suspect.refusalMs * 2 || REFUSAL_MIN_MS;
+  suspect.refusalMs = Math.min(REFUSAL_MAX_MS, doubled);
+  suspect.refusedUntil = now + suspect.refusalMs;
+}
+
+function noteUpstream(suspect: Suspect, report: CrashReport, at: number): void {
+  const {upstream, crashes} = report;
+  suspect.upstreams.delete(upstream);
+  suspect.upstreams.set(upstream, {at, crashes});
+  if (suspect.upstreams.size <= MAX_UPSTREAMS) return;
+  const [oldest] = suspect.upstreams.keys();
+  suspect.upstreams.delete(oldest);
+}
+
+function findOrCreate(
+  state: Suspects,
+  fingerprint: string,
+  now: number,
+): Suspect {
+  const {byFingerprint} = state;
+  const found = findSuspect(state, fingerprint, now);
+  if (found) return found;
+  if (byFingerprint.size >= MAX_SUSPECTS) {
+    const [oldest] = byFingerprint.keys();
+    byFingerprint.delete(oldest);
+  }
+  const created: Suspect = {
+    crashes: 0,
+    crashedAt: -Infinity,
+    upstreams: new Map(),
+    running: 0,
+    refusedUntil: -Infinity,
+    refusalMs: 0,
+    finishedAt: -Infinity,
+  };
+  byFingerprint.set(fingerprint, created);
+  return created;
+}
+
+function findSuspect(
+  state: Suspects,
+  fingerprint: string,
+  now: number,
+): Suspect | undefined {
+  const suspect = state.byFingerprint.get(fingerprint);
+  if (!suspect) return undefined;
+  const last = Math.max(
+    suspect.refusedUntil,
+    suspect.crashedAt,
+    suspect.finishedAt,
+  );
+  if (suspect.running > 0 || now - last <= CRASH_MEMORY_MS) return suspect;
+  state.byFingerprint.delete(fingerprint);
+  return undefined;
+}
+
+/**
+ * How to treat a request: `send` as any other, `alone` (one upstream at a time
+ * from this daemon), `wait` until the run in progress has ended, or `refuse`.
+ */
+export interface Judgement {
+  readonly action: 'send' | 'alone' | 'wait' | 'refuse';
+  /** Crashes known of this request. */
+  readonly crashes: number;
+  /** Time until the refusal ends, ms. */
+  readonly retryAfterMs: number;
+}
+
+const UNSUSPECTED: Judgement = {action: 'send', crashes: 0, retryAfterMs: 0};
+
+/** Judges a request by the crashes known of its fingerprint. */
+export function judgeRequest(
+  state: Suspects,
+  fingerprint: string,
+  now: number,
+): Judgement {
+  if (state.byFingerprint.size === 0) return UNSUSPECTED;
+  const suspect = findSuspect(state, fingerprint, now);
+  if (!suspect || suspect.crashes === 0) return UNSUSPECTED;
+  const {crashes, running, refusedUntil} = suspect;
+  const retryAfterMs = Math.max(0, refusedUntil - now);
+  if (retryAfterMs > 0) return {action: 'refuse', crashes, retryAfterMs};
+  // After a refusal one run at a time decides whether the next one follows.
+  const held =
+    crashes >= CRASH_BUDGET || now - suspect.crashedAt <= SUSPECT_HOLD_MS;
+  const action = !held ? 'send' : running > 0 ? 'wait' : 'alone';
+  return {action, crashes, retryAfterMs};
+}
+
+/** Marks a run that was judged `alone` as started. */
+export function beginAlone(state: Suspects, fingerprint: string): void {
+  const suspect = state.byFingerprint.get(fingerprint);
+  if (suspect) suspect.running++;
+}
+
+/** Marks a run that was judged `alone` as ended, whatever its outcome. */
+export function endAlone(state: Suspects, fingerprint: string): void {
+  const suspect = state.byFingerprint.get(fingerprint);
+  if (suspect && suspect.running > 0) suspect.running--;
+}
+
+/** Clears a request that an upstream has completed. */
+export function noteFinished(
+  state: Suspects,
+  fingerprint: string,
+  now: number,
+): void {
+  if (state.byFingerprint.size === 0) return;
+  const suspect = state.byFingerprint.get(fingerprint);
+  if (!suspect) return;
+  // The upstreams are kept, so that late copies of reports stay known.
+  suspect.crashes = 0;
+  suspect.refusalMs = 0;
+  suspect.refusedUntil = -Infinity;
+  suspect.finishedAt = now;
+}
+
+/**
+ * Notes that a run sent from here crashed its upstream. `knownBefore` is the
+ * number of crashes known when the run was sent: as that run came after them,
+ * its crash counts separately. Returns the sends that tell all peers.
+ */
+export function reportCrash(
+  board: Board,
+  crash: {
+    fingerprint: string;
+    service: string;
+    upstream: string;
+    knownBefore: number;
+  },
+  now: number,
+): Effect[] {
+  const {fingerprint, service, upstream, knownBefore} = crash;
+  const crashes = knownBefore + 1;
+  const report = {fingerprint, service, upstream, crashes, ageMs: 0};
+  return relayNew(board, [report], now);
+}
+
+/** Handles `crash`: relays the new reports once on all other links. */
+export function handleCrash(
+  board: Board,
+  from: string,
+  msg: MessageOf<'crash'>,
+  now: number,
+): Effect[] {
+  count(board, 'crash_reports_received', msg.reports.length);
+  return relayNew(board, msg.reports, now, from);
+}
+
+function relayNew(
+  board: Board,
+  received: readonly CrashReport[],
+  now: number,
+  from?: string,
+): Effect[] {
+  const reports = noteCrashes(board.suspects, received, now);
+  if (reports.length === 0) return [];
+  count(board, 'crash_reports_new', reports.length);
+  for (const {fingerprint, upstream, crashes} of reports) {
+    const detail = {fingerprint, upstream, crashes};
+    recordEvent(board.timeline, 'suspectHeld', detail, now);
+  }
+  const effects: Effect[] = [];
+  for (const peer of board.links.keys()) {
+    if (peer === from) continue;
+    effects.push({kind: 'send', to: peer, msg: {t: 'crash', reports}});
+  }
+  return effects;
+}
--- /dev/null
+++ b/src/daemon/attempt.ts
@@ -0,0 +1,168 @@
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {
+  HEADERS,
+  OUTCOMES,
+  parseReason,
+  parseVerdict,
+  type Outcome,
+  type ReportedLoad,
+} from '../internal.js';
+import type {Forwarder, ForwardRequest, OwnerAddress} from './forward.js';
+import {isConnectionHeader} from './intake.js';
+
+/** How one attempt ended. */
+export type AttemptResult =
+  | {kind: 'answered'}
+  /** The answer broke off, and with it the customer's connection. */
+  | {kind: 'cut'}
+  | {kind: 'cancelled'}
+  | {
+      kind: 'failed';
+      outcome: Outcome;
+      /** True when the owner itself gave the outcome. */
+      vouched: boolean;
+      /** `Retry-After` of the owner, s. */
+      retryAfter?: string;
+    };
+
+/** An attempt in progress. */
+export interface Attempt {
+  readonly result: Promise<AttemptResult>;
+  /** Ends the attempt because the customer has gone. */
+  cancel(): void;
+  /** Ends the attempt because its deadline has passed. */
+  expire(): void;
+  resume(): void;
+}
+
+/** What an attempt is sent with. */
+export interface AttemptOptions {
+  readonly forwarder: Forwarder;
+  readonly to: OwnerAddress;
+  readonly request: ForwardRequest;
+  readonly requestId: string;
+  readonly res: ServerResponse;
+  readonly now: number;
+  /** Called when the owner has answered, before the body. */
+  onReply(load: ReportedLoad | undefined): void;
+}
+
+/** Sends a request to an owner once and streams the answer to the customer. */
+export function startAttempt(options: AttemptOptions): Attempt {
+  const {res, requestId} = options;
+  let settle!: (result: AttemptResult) => void;
+  const result = new Promise<AttemptResult>(resolve => (settle = resolve));
+  let answering = false;
+  let refusal: AttemptResult | undefined;
+
+  const events = {
+    head(status: number, headers: IncomingHttpHeaders): boolean {
+      if (headers[HEADERS.id] !== requestId) {
+        settle(fail('crossedAnswer'));
+        return false;
+      }
+      options.onReply(parseLoad(readOne(headers, HEADERS.load)));
+      refusal = readRefusal(headers);
+      if (refusal) return true;
+      answering = true;
+      res.writeHead(status, copyAnswerHeaders(headers));
+      return true;
+    },
+    data: (chunk: Buffer) => (answering ? res.write(chunk) : true),
+    end(): void {
+      if (answering) res.end();
+      settle(refusal ?? {kind: 'answered'});
+    },
+    fail(err: Error, written: boolean): void {
+      if (answering) {
+        // An answer without its end must not look complete.
+        res.destroy();
+        settle({kind: 'cut'});
+        return;
+      }
+      settle(refusal ?? fail(judgeFailure(err, written)));
+    },
+  };
+  const call = options.forwarder.send(
+    options.to,
+    options.request,
+    events,
+    options.now,
+  );
+
+  return {
+    result,
+    cancel(): void {
+      call.abort();
+      settle({kind: 'cancelled'});
+    },
+    expire(): void {
+      call.abort();
+      if (answering) {
+        res.destroy();
+        settle({kind: 'cut'});
+        return;
+      }
+      const late = call.written ? 'deadlineAfterSend' : 'deadlineBeforeSend';
+      settle(refusal ?? fail(late));
+    },
+    resume: () => call.resume(),
+  };
+}
+
+function fail(outcome: Outcome): AttemptResult {
+  return {kind: 'failed', outcome, vouched: false};
+}
+
+function judgeFailure(err: Error, written: boolean): Outcome {
+  if (written) return 'connectionBroken';
+  const {code} = err as {code?: string};
+  return code === 'UND_ERR_INVALID_ARG' ? 'badRequest' : 'connectFailed';
+}
+
+function readOne(
+  headers: IncomingHttpHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+/** Reads a refusal of the owner; undefined when the upstream answered. */
+function readRefusal(headers: IncomingHttpHeaders): AttemptResult | undefined {
+  const verdict = parseVerdict(readOne(headers, HEADERS.verdict));
+  if (verdict === 'ran') return undefined;
+  const reason = parseReason(readOne(headers, HEADERS.reason) ?? '');
+  const retryAfter = readOne(headers, 'retry-after');
+  let outcome: Outcome = verdict === 'notRun' ? 'full' : 'connectionBroken';
+  // A reason that contradicts the verdict does not count.
+  if (reason && OUTCOMES[reason].verdict === verdict) outcome = reason;
+  return {kind: 'failed', outcome, vouched: true, retryAfter};
+}
+
+/** Headers of an answer that concern only the daemons. */
+const INTERNAL = new Set<string>([HEADERS.load, HEADERS.boot, HEADERS.hlc]);
+
+function copyAnswerHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  const copy: IncomingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (INTERNAL.has(name) || isConnectionHeader(name)) continue;
+    copy[name] = value;
+  }
+  return copy;
+}
+
+/** Reads a `berylbend-load` header; undefined when absent or malformed. */
+export function parseLoad(text: string | undefined): ReportedLoad | undefined {
+  const match = /^(\d{1,6}),(\d{1,6}),(\d{1,6}),(0|1|true|false)$/.exec(
+    text ?? '',
+  );
+  if (!match) return undefined;
+  const [, limit, inFlight, queued, cold] = match;
+  return {
+    limit: Number(limit),
+    inFlight: Number(inFlight),
+    queued: Number(queued),
+    cold: cold === '1' || cold === 'true',
+  };
+}
--- /dev/null
+++ b/src/daemon/dispatch.ts
@@ -0,0 +1,270 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  FORWARD_PREFIX,
+  HEADERS,
+  beginAlone,
+  chooseUpstream,
+  combineOutcomes,
+  count,
+  decideRetry,
+  endAlone,
+  findCandidates,
+  formatHlc,
+  judgeRequest,
+  noteFailure,
+  noteFinished,
+  noteReply,
+  noteSent,
+  noteUnavailable,
+  rankByRendezvous,
+  recordEvent,
+  reportCrash,
+  sign,
+  tickHlc,
+  type Judgement,
+  type MemberRecord,
+  type Outcome,
+} from '../internal.js';
+import {startAttempt, type AttemptResult} from './attempt.js';
+import {listAll, refuse, type EntryState, type Exchange} from './exchange.js';
+import type {ForwardRequest} from './forward.js';
+import type {Intake} from './intake.js';
+
+/** Interval at which a held request checks whether it may be sent, ms. */
+const HOLD_POLL_MS = 20;
+
+/** Checks of a held request before it is refused; 1 s in all. */
+const HOLD_POLLS = 50;
+
+/** Outcomes after which an owner counts as full for a while. */
+const UNAVAILABLE = new Set<Outcome>([
+  'dataCentreOut',
+  'deadlineAfterSend',
+  'leaving',
+  'staleView',
+  'upstreamCrashed',
+  'upstreamDown',
+  'wrongOwner',
+]);
+
+/** Sends a checked request to owners until it is answered or refused. */
+export async function dispatchRequest(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+): Promise<void> {
+  while (!exchange.over) {
+    const judgement = await awaitTurn(state, exchange);
+    if (exchange.over) return;
+    if (judgement.action === 'refuse' || judgement.action === 'wait') {
+      refuseSuspect(state, exchange, judgement);
+      return;
+    }
+    const owner = pickOwner(state, exchange, intake, judgement);
+    if (!owner) {
+      refuse(state, exchange, exchange.outcome ?? 'noUpstream');
+      return;
+    }
+    const result = await runAttempt(state, exchange, intake, owner, judgement);
+    if (!handleResult(state, exchange, intake, result, judgement)) return;
+    count(state.deps.board, 'entry_retries');
+    exchange.budget--;
+  }
+}
+
+/** Waits while a copy of a suspect request is running. */
+async function awaitTurn(
+  state: EntryState,
+  exchange: Exchange,
+): Promise<Judgement> {
+  const {board, now} = state.deps;
+  const judge = () => judgeRequest(board.suspects, exchange.fingerprint, now());
+  let judgement = judge();
+  for (let i = 0; i < HOLD_POLLS && judgement.action === 'wait'; i++) {
+    await sleep(HOLD_POLL_MS);
+    if (exchange.over) break;
+    judgement = judge();
+  }
+  return judgement;
+}
+
+function refuseSuspect(
+  state: EntryState,
+  exchange: Exchange,
+  judgement: Judgement,
+): void {
+  count(state.deps.board, 'entry_suspects_refused');
+  const seconds = Math.max(1, Math.ceil(judgement.retryAfterMs / 1_000));
+  const outcome = combineOutcomes(exchange.outcome, 'suspectHeld');
+  const extra = {'retry-after': String(seconds)};
+  refuse(state, exchange, outcome, false, extra);
+}
+
+/** Chooses the owner of the next attempt; undefined when none is left. */
+function pickOwner(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+  judgement: Judgement,
+): MemberRecord | undefined {
+  const {board, random, now} = state.deps;
+  const {service} = intake.matched.route;
+  const members = listAll(state, service);
+  if (exchange.boundTo !== undefined) {
+    return [...members].find(record => record.id === exchange.boundTo);
+  }
+  const {document} = intake.version;
+  const candidates = findCandidates(document, service, members);
+  if (judgement.action === 'alone') {
+    // All entries choose the same upstream, so that copies of the request
+    // sent by several entries at once crash one upstream and not several.
+    const left = candidates.filter(record => !exchange.tried.has(record.id));
+    const ids = left.map(record => record.id);
+    const [first] = rankByRendezvous(exchange.fingerprint, ids);
+    return left.find(record => record.id === first);
+  }
+  const {dataCentre, region} = board.self;
+  const context = {dataCentre, region, tried: exchange.tried};
+  return chooseUpstream(board.routing, candidates, context, random, now());
+}
+
+async function runAttempt(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+  owner: MemberRecord,
+  judgement: Judgement,
+): Promise<AttemptResult> {
+  const {board, now} = state.deps;
+  exchange.tried.add(owner.id);
+  exchange.upstream = owner.id;
+  noteSent(board.routing, owner);
+  const alone = judgement.action === 'alone';
+  if (alone) beginAlone(board.suspects, exchange.fingerprint);
+  const at = now();
+  const attempt = startAttempt({
+    forwarder: state.forwarder,
+    to: owner,
+    request: buildForwardRequest(state, exchange, intake, at),
+    requestId: exchange.id,
+    res: exchange.res,
+    now: at,
+    onReply: load => {
+      if (!noteReply(board.routing, owner.id, load, now())) return;
+      recordEvent(board.timeline, 'readmitted', {upstream: owner.id}, now());
+    },
+  });
+  exchange.attempt = attempt;
+  const result = await attempt.result;
+  exchange.attempt = undefined;
+  if (alone) endAlone(board.suspects, exchange.fingerprint);
+  return result;
+}
+
+function buildForwardRequest(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+  at: number,
+): ForwardRequest {
+  const {board, key} = state.deps;
+  const {id, fingerprint, body} = exchange;
+  const {matched, method, target} = intake;
+  const {timeline} = board;
+  timeline.hlc = tickHlc(timeline.hlc, Date.now());
+  const deadlineMs = String(Math.max(1, Math.floor(exchange.deadlineAt - at)));
+  const idempotencyKey = intake.key ?? '';
+  const mac = sign(
+    key,
+    id,
+    matched.name,
+    fingerprint,
+    idempotencyKey,
+    deadlineMs,
+  );
+  const headers = [
+    ...intake.headers,
+    ...[HEADERS.id, id],
+    ...[HEADERS.deadlineMs, deadlineMs],
+    ...[HEADERS.depth, String(intake.depth + 1)],
+    ...[HEADERS.budget, String(exchange.budget)],
+    ...[HEADERS.route, matched.name],
+    ...[HEADERS.priority, matched.route.priority],
+    ...[HEADERS.version, String(intake.version.version)],
+    ...[HEADERS.fingerprint, fingerprint],
+    ...[HEADERS.hlc, formatHlc(timeline.hlc)],
+    ...[HEADERS.auth, mac],
+  ];
+  if (idempotencyKey) headers.push(HEADERS.key, idempotencyKey);
+  const path = FORWARD_PREFIX + target;
+  return {method, path, headers, body: body.length > 0 ? body : undefined};
+}
+
+/** Takes in the result of an attempt; returns true to send once more. */
+function handleResult(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+  result: AttemptResult,
+  judgement: Judgement,
+): boolean {
+  const {board, now} = state.deps;
+  if (result.kind === 'cancelled') return false;
+  if (result.kind === 'cut') {
+    exchange.result = 'cut';
+    count(board, 'entry_answers_cut');
+    return false;
+  }
+  if (result.kind === 'answered') {
+    exchange.over = true;
+    exchange.result = 'answered';
+    count(board, 'entry_answered');
+    noteFinished(board.suspects, exchange.fingerprint, now());
+    return false;
+  }
+  const {outcome, vouched} = result;
+  noteFailedAttempt(state, exchange, intake, outcome, judgement);
+  exchange.outcome = combineOutcomes(exchange.outcome, outcome);
+  const again =
+    exchange.boundTo === undefined &&
+    decideRetry({
+      outcome,
+      idempotent: intake.matched.route.idempotent,
+      budget: exchange.budget,
+      tried: exchange.tried.size,
+      remainingMs: exchange.deadlineAt - now(),
+      crashes: exchange.crashes,
+      suspect: judgement.crashes > 0,
+    });
+  if (again) return true;
+  const {retryAfter} = result;
+  const extra: Record<string, string> = {};
+  if (retryAfter && /^\d{1,5}$/.test(retryAfter)) {
+    extra['retry-after'] = retryAfter;
+  }
+  refuse(state, exchange, exchange.outcome, vouched, extra);
+  return false;
+}
+
+function noteFailedAttempt(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+  outcome: Outcome,
+  judgement: Judgement,
+): void {
+  const {board, now, execute} = state.deps;
+  const {upstream, fingerprint} = exchange;
+  if (UNAVAILABLE.has(outcome)) noteUnavailable(board.routing, upstream, now());
+  if (outcome === 'connectFailed' || outcome === 'connectionBroken') {
+    const ms = noteFailure(board.routing, upstream, now());
+    if (ms > 0) recordEvent(board.timeline, 'ejected', {upstream, ms}, now());
+  }
+  if (outcome !== 'upstreamCrashed') return;
+  exchange.crashes++;
+  const {service} = intake.matched.route;
+  const knownBefore = judgement.crashes;
+  const crash = {fingerprint, service, upstream, knownBefore};
+  const effects = reportCrash(board, crash, now());
+  if (effects.length > 0) execute?.(effects);
+}
--- /dev/null
+++ b/src/daemon/entry.ts
@@ -0,0 +1,233 @@
+import {
+  STATUS_CODES,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {
+  HEADERS,
+  KEYS_PATH,
+  OUTCOMES,
+  chooseUpstream,
+  combineOutcomes,
+  computeFingerprint,
+  count,
+  findCandidates,
+  formatReason,
+  matchRoute,
+  normalizePath,
+  VERDICT_HEADER_VALUES,
+  type MemberRecord,
+  type Outcome,
+  type Version,
+} from '../internal.js';
+import {dispatchRequest} from './dispatch.js';
+import {
+  beginExchange,
+  createEntryState,
+  listAll,
+  refuse,
+  sendJson,
+  type EntryDeps,
+  type EntryState,
+  type Exchange,
+} from './exchange.js';
+import {createForwarder} from './forward.js';
+import {bufferBody, checkHead, type Intake} from './intake.js';
+
+export type {BoundKeyParts, EntryDeps} from './exchange.js';
+
+/** Request handler of the customer port. */
+export interface Entry {
+  (req: IncomingMessage, res: ServerResponse): void;
+  /** Refuses new requests; resolves when the running ones have ended. */
+  stop(): Promise<void>;
+  /** Answers input that is not HTTP; for `clientError` of the server. */
+  handleClientError(err: Error, socket: Duplex): void;
+  /** Returns the number of customer requests in progress. */
+  countRunning(): number;
+}
+
+/** Creates the handler of the customer port. */
+export function createEntry(deps: EntryDeps): Entry {
+  const forwarder = deps.forwarder ?? createForwarder();
+  const state = createEntryState(deps, forwarder);
+  const handler = (req: IncomingMessage, res: ServerResponse): void => {
+    const exchange = beginExchange(state, req, res);
+    serve(state, exchange).catch(() => {
+      count(deps.board, 'entry_errors');
+      // Whether a byte was sent is not known here.
+      refuse(state, exchange, 'connectionBroken');
+    });
+  };
+  return Object.assign(handler, {
+    stop: () => stopEntry(state),
+    handleClientError: (err: Error, socket: Duplex) =>
+      answerClientError(state, err, socket),
+    countRunning: () => state.running.size,
+  });
+}
+
+async function serve(state: EntryState, exchange: Exchange): Promise<void> {
+  const {board} = state.deps;
+  if (state.stopping) return refuse(state, exchange, 'leaving');
+  const version = board.config.inForce;
+  const {req} = exchange;
+  // The key is read first: with a bound key nothing is reported as not run.
+  readBoundKey(state, exchange);
+  if (!version) return refuse(state, exchange, 'noConfig');
+  if (board.viewStale) return refuse(state, exchange, 'staleView');
+  if (req.url?.split('?', 1)[0] === KEYS_PATH) {
+    return serveKey(state, exchange, version);
+  }
+  const intake = checkHead(req, version);
+  if (typeof intake === 'string') return refuse(state, exchange, intake);
+  exchange.intake = intake;
+  exchange.budget = intake.budget;
+  startDeadline(state, exchange, intake.timeoutMs);
+  if (exchange.over || !checkKey(state, exchange, intake)) return;
+  const body = await bufferBody(req, state.bodies);
+  if (exchange.over) {
+    if (typeof body !== 'string') state.bodies.bytes -= body.length;
+    return;
+  }
+  if (body === 'gone') return;
+  if (typeof body === 'string') return refuse(state, exchange, body);
+  exchange.body = body;
+  const {method, target} = intake;
+  exchange.fingerprint = computeFingerprint(method, target, body);
+  // The process may have been paused while it read the body.
+  if (board.viewStale) return refuse(state, exchange, 'staleView');
+  await dispatchRequest(state, exchange, intake);
+}
+
+function readBoundKey(state: EntryState, exchange: Exchange): void {
+  const text = exchange.req.headers[HEADERS.key];
+  if (typeof text !== 'string') return;
+  exchange.boundTo = state.deps.parseKey(text)?.owner;
+}
+
+function startDeadline(
+  state: EntryState,
+  exchange: Exchange,
+  timeoutMs: number,
+): void {
+  exchange.deadlineAt = exchange.startedAt + timeoutMs;
+  if (timeoutMs <= 0) return refuse(state, exchange, 'deadlineBeforeSend');
+  exchange.timer = setTimeout(() => {
+    if (exchange.attempt) {
+      exchange.attempt.expire();
+      return;
+    }
+    const {outcome} = exchange;
+    const late = combineOutcomes(outcome, 'deadlineBeforeSend');
+    refuse(state, exchange, late);
+  }, timeoutMs);
+}
+
+/** Refuses keys that cannot be honoured; returns true when all is well. */
+function checkKey(
+  state: EntryState,
+  exchange: Exchange,
+  intake: Intake,
+): boolean {
+  const {key, matched, version} = intake;
+  if (key === undefined || exchange.boundTo !== undefined) return true;
+  if (key.startsWith('bk1~')) {
+    refuse(state, exchange, 'badKey');
+    return false;
+  }
+  if (matched.route.idempotent) return true;
+  const owner = pickKeyOwner(state, version, matched.route.service);
+  if (!owner) {
+    refuse(state, exchange, 'noUpstream');
+    return false;
+  }
+  const minted = {[HEADERS.key]: state.deps.mintKey(owner)};
+  refuse(state, exchange, 'keyNotBound', false, minted);
+  return false;
+}
+
+/** Chooses the process a new key is bound to; its boot must be known. */
+function pickKeyOwner(
+  state: EntryState,
+  version: Version,
+  service: string,
+): MemberRecord | undefined {
+  const {board, random, now} = state.deps;
+  const candidates = findCandidates(
+    version.document,
+    service,
+    listAll(state, service),
+  ).filter(record => record.boot !== '');
+  const {dataCentre, region} = board.self;
+  const context = {dataCentre, region};
+  return chooseUpstream(board.routing, candidates, context, random, now());
+}
+
+/** Serves `KEYS_PATH`: mints a key for the route of `path` and `method`. */
+function serveKey(
+  state: EntryState,
+  exchange: Exchange,
+  version: Version,
+): void {
+  const {req} = exchange;
+  const query = new URLSearchParams((req.url ?? '').split('?')[1] ?? '');
+  const path = normalizePath((query.get('path') ?? '').split('?', 1)[0]);
+  if (req.method !== 'POST' || path === undefined) {
+    return refuse(state, exchange, 'badRequest');
+  }
+  const method = query.get('method') ?? 'POST';
+  const matched = matchRoute(version.document, method, path);
+  if (!matched) return refuse(state, exchange, 'unknownRoute');
+  const owner = pickKeyOwner(state, version, matched.route.service);
+  if (!owner) return refuse(state, exchange, 'noUpstream');
+  const key = state.deps.mintKey(owner);
+  count(state.deps.board, 'entry_keys_minted');
+  sendJson(exchange, 201, {key}, {[HEADERS.key]: key});
+}
+
+async function stopEntry(state: EntryState): Promise<void> {
+  state.stopping = true;
+  if (state.running.size > 0) {
+    await new Promise<void>(resolve => (state.onIdle = resolve));
+  }
+  await state.forwarder.close();
+}
+
+const CLIENT_ERRORS: Record<string, {outcome: Outcome; status: number}> = {
+  HPE_HEADER_OVERFLOW: {outcome: 'tooLarge', status: 431},
+  ERR_HTTP_REQUEST_TIMEOUT: {outcome: 'badRequest', status: 408},
+};
+
+function answerClientError(
+  state: EntryState,
+  err: Error,
+  socket: Duplex,
+): void {
+  count(state.deps.board, 'entry_bad_http');
+  // An answer in progress on this connection must not be mixed with another.
+  if (!socket.writable || (state.busy.get(socket) ?? 0) > 0) {
+    socket.destroy();
+    return;
+  }
+  const {code = ''} = err as NodeJS.ErrnoException;
+  const rule = CLIENT_ERRORS[code];
+  const outcome = rule?.outcome ?? 'badRequest';
+  const status = rule?.status ?? OUTCOMES[outcome].status;
+  const verdict = VERDICT_HEADER_VALUES[OUTCOMES[outcome].verdict];
+  const reason = formatReason(outcome);
+  const body = JSON.stringify({error: reason, verdict});
+  socket.end(
+    [
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+      'content-type: application/json',
+      `content-length: ${body.length}`,
+      `${HEADERS.verdict}: ${verdict}`,
+      `${HEADERS.reason}: ${reason}`,
+      'connection: close',
+      '',
+      body,
+    ].join('\r\n'),
+  );
+}
--- /dev/null
+++ b/src/daemon/exchange.ts
@@ -0,0 +1,254 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {
+  HEADERS,
+  OUTCOMES,
+  count,
+  formatReason,
+  outcomeForBoundKey,
+  recordEvent,
+  type Board,
+  type Effect,
+  type MemberRecord,
+  type Outcome,
+  type Random,
+} from '../internal.js';
+import type {Attempt} from './attempt.js';
+import type {Forwarder} from './forward.js';
+import {sendRefusal} from './http.js';
+import type {BodyBudget, Intake} from './intake.js';
+
+/** Time a customer may go on sending a body after a refusal, ms. */
+const DISCARD_MS = 2_000;
+
+/** Refusals recorded on the time line per second; more are only counted. */
+const REFUSAL_EVENTS_PER_S = 20;
+
+/** Parts of a bound key that the entry uses. */
+export interface BoundKeyParts {
+  readonly owner: string;
+}
+
+/** What an entry needs from its daemon. */
+export interface EntryDeps {
+  readonly board: Board;
+  /** Shared key of the daemons. */
+  readonly key: string;
+  readonly random: Random;
+  /** Monotonic time, ms. */
+  now(): number;
+  /** Members of a service in any state; may leave out this daemon. */
+  listMembers(service: string): Iterable<MemberRecord>;
+  /** Mints a key bound to the process of a member. */
+  mintKey(owner: MemberRecord): string;
+  /** Reads a bound key; undefined when it is none or its MAC is wrong. */
+  parseKey(text: string): BoundKeyParts | undefined;
+  /** Executes the sends that tell peers of crashes. */
+  execute?(effects: Effect[]): void;
+  /** Called when a customer request has ended. */
+  onFinished?(outcome: Outcome | 'cut' | 'cancelled', elapsedMs: number): void;
+  readonly forwarder?: Forwarder;
+}
+
+/** State of an entry. */
+export interface EntryState {
+  readonly deps: EntryDeps;
+  readonly forwarder: Forwarder;
+  readonly bodies: BodyBudget;
+  readonly running: Set<Exchange>;
+  /** Requests in progress by connection. */
+  readonly busy: WeakMap<Duplex, number>;
+  stopping: boolean;
+  sequence: number;
+  /** Refusals that may still be recorded in the second from `eventsAt`. */
+  eventsLeft: number;
+  eventsAt: number;
+  onIdle?: () => void;
+}
+
+/** One customer request in progress. */
+export interface Exchange {
+  readonly id: string;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly startedAt: number;
+  deadlineAt: number;
+  intake?: Intake;
+  /** Owner named by a bound key. */
+  boundTo?: string;
+  body: Buffer;
+  fingerprint: string;
+  /** Retries left for the chain. */
+  budget: number;
+  readonly tried: Set<string>;
+  crashes: number;
+  /** Outcome to report, of the attempts so far. */
+  outcome?: Outcome;
+  /** Upstream of the latest attempt. */
+  upstream: string;
+  attempt?: Attempt;
+  timer?: NodeJS.Timeout;
+  /** True once the customer has gone or has got an answer or a refusal. */
+  over: boolean;
+  result?: Outcome | 'cut';
+}
+
+/** Creates the state of an entry that serves nothing yet. */
+export function createEntryState(
+  deps: EntryDeps,
+  forwarder: Forwarder,
+): EntryState {
+  return {
+    deps,
+    forwarder,
+    bodies: {bytes: 0},
+    running: new Set(),
+    busy: new WeakMap(),
+    stopping: false,
+    sequence: 0,
+    eventsLeft: REFUSAL_EVENTS_PER_S,
+    eventsAt: 0,
+  };
+}
+
+/** Registers a customer request until its connection is done with it. */
+export function beginExchange(
+  state: EntryState,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Exchange {
+  const {board, now} = state.deps;
+  const sequence = (++state.sequence).toString(36);
+  const startedAt = now();
+  const exchange: Exchange = {
+    id: `${board.self.id}-${board.self.boot.slice(0, 8)}-${sequence}`,
+    req,
+    res,
+    startedAt,
+    deadlineAt: Infinity,
+    body: Buffer.alloc(0),
+    fingerprint: '',
+    budget: 0,
+    tried: new Set(),
+    crashes: 0,
+    upstream: '',
+    over: false,
+  };
+  count(board, 'entry_requests');
+  if (board.self.state === 'leaving') res.setHeader('connection', 'close');
+  state.running.add(exchange);
+  const {socket} = req;
+  state.busy.set(socket, (state.busy.get(socket) ?? 0) + 1);
+  res.on('drain', () => exchange.attempt?.resume());
+  res.once('close', () => {
+    state.busy.set(socket, (state.busy.get(socket) ?? 1) - 1);
+    endExchange(state, exchange);
+  });
+  return exchange;
+}
+
+function endExchange(state: EntryState, exchange: Exchange): void {
+  const {board, now, onFinished} = state.deps;
+  const {res} = exchange;
+  exchange.over = true;
+  clearTimeout(exchange.timer);
+  state.bodies.bytes -= exchange.body.length;
+  // The customer closed the connection before the whole answer was written.
+  if (!res.writableFinished) {
+    exchange.attempt?.cancel();
+    if (!exchange.result) count(board, 'entry_cancelled');
+  }
+  const result = exchange.result ?? 'cancelled';
+  onFinished?.(result, now() - exchange.startedAt);
+  state.running.delete(exchange);
+  if (state.running.size === 0) state.onIdle?.();
+}
+
+/**
+ * Ends a request with a refusal. `vouched` says that the owner itself gave the
+ * outcome; without it a bound key is never reported as not run.
+ */
+export function refuse(
+  state: EntryState,
+  exchange: Exchange,
+  given: Outcome,
+  vouched = false,
+  extra: Record<string, string> = {},
+): void {
+  if (exchange.over) return;
+  exchange.over = true;
+  const bound = exchange.boundTo !== undefined;
+  const outcome = bound && !vouched ? outcomeForBoundKey(given) : given;
+  exchange.result = outcome;
+  const {board} = state.deps;
+  count(board, 'entry_refused');
+  count(board, `entry_refused_${OUTCOMES[outcome].verdict}`);
+  recordRefusal(state, exchange, outcome);
+  const {req, res} = exchange;
+  sendRefusal(res, outcome, exchange.id, extra);
+  if (req.complete) return;
+  // Reading on lets the customer see the refusal instead of a reset.
+  req.resume();
+  const timer = setTimeout(() => {
+    if (!req.complete) req.destroy();
+  }, DISCARD_MS);
+  req.once('close', () => clearTimeout(timer));
+}
+
+function recordRefusal(
+  state: EntryState,
+  exchange: Exchange,
+  outcome: Outcome,
+): void {
+  const {board, now} = state.deps;
+  const at = now();
+  if (at - state.eventsAt >= 1_000) {
+    state.eventsAt = at;
+    state.eventsLeft = REFUSAL_EVENTS_PER_S;
+  }
+  if (state.eventsLeft <= 0) {
+    count(board, 'entry_refusals_not_recorded');
+    return;
+  }
+  state.eventsLeft--;
+  const detail = {
+    request: exchange.id,
+    reason: formatReason(outcome),
+    verdict: OUTCOMES[outcome].verdict,
+    route: exchange.intake?.matched.name ?? '',
+    upstream: exchange.upstream,
+    version: exchange.intake?.version.version ?? 0,
+  };
+  recordEvent(board.timeline, 'refused', detail, at);
+}
+
+/** Lists the members of a service, this daemon included. */
+export function* listAll(
+  state: EntryState,
+  service: string,
+): Generator<MemberRecord> {
+  const {self} = state.deps.board;
+  if (self.service === service) yield self;
+  for (const record of state.deps.listMembers(service)) {
+    if (record.id !== self.id) yield record;
+  }
+}
+
+/** Answers with JSON that is not a refusal. */
+export function sendJson(
+  exchange: Exchange,
+  status: number,
+  value: unknown,
+  extra: Record<string, string>,
+): void {
+  const body = JSON.stringify(value);
+  exchange.over = true;
+  exchange.result = 'answered';
+  exchange.res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    [HEADERS.id]: exchange.id,
+    ...extra,
+  });
+  exchange.res.end(body);
+}
--- /dev/null
+++ b/src/daemon/intake.ts
@@ -0,0 +1,163 @@
+import type {IncomingMessage} from 'node:http';
+import {
+  HEADERS,
+  MAX_DEPTH,
+  computeTimeout,
+  matchRoute,
+  normalizePath,
+  parseBudget,
+  parseDepth,
+  type MatchedRoute,
+  type Outcome,
+  type Version,
+} from '../internal.js';
+import {MAX_BODY_BYTES, readHeader} from './http.js';
+
+/**
+ * Largest request line and headers, bytes. The owner's HTTP server accepts
+ * 16 KB; the rest is for the headers that the entry adds.
+ */
+export const MAX_HEADER_BYTES = 12_288;
+
+/** Bytes of request bodies that one entry holds at a time. */
+export const MAX_BUFFERED_BYTES = 33_554_432;
+
+/** A checked customer request, before its body is read. */
+export interface Intake {
+  readonly method: string;
+  /** Path and query as received. */
+  readonly target: string;
+  /** Version in force when the request started; used until it ends. */
+  readonly version: Version;
+  readonly matched: MatchedRoute;
+  readonly timeoutMs: number;
+  readonly depth: number;
+  readonly budget: number;
+  /** Text of the `idempotency-key` header. */
+  readonly key: string | undefined;
+  /** Header names and values to pass on. */
+  readonly headers: string[];
+}
+
+/** Checks the head of a customer request; returns an outcome if it is bad. */
+export function checkHead(
+  req: IncomingMessage,
+  version: Version,
+): Intake | Outcome {
+  const method = req.method ?? '';
+  const target = req.url ?? '';
+  if (measureHead(req) > MAX_HEADER_BYTES) return 'tooLarge';
+  const path = normalizePath(target.split('?', 1)[0]);
+  if (path === undefined || /[^\x21-\x7e]/.test(target)) return 'badRequest';
+  const depth = parseDepth(readHeader(req, HEADERS.depth));
+  const budget = parseBudget(readHeader(req, HEADERS.budget));
+  if (depth === undefined || budget === undefined) return 'badRequest';
+  if (depth >= MAX_DEPTH) return 'tooDeep';
+  const matched = matchRoute(version.document, method, path);
+  if (!matched) return 'unknownRoute';
+  const deadline = readHeader(req, HEADERS.deadlineMs);
+  const timeoutMs = computeTimeout(matched.route.timeoutMs, deadline);
+  if (timeoutMs === undefined) return 'badRequest';
+  const key = readHeader(req, HEADERS.key);
+  // Repeated headers arrive joined by a comma, which no key contains.
+  if (key !== undefined && !/^[\w.~:+/=-]{1,512}$/.test(key)) return 'badKey';
+  if (Number(req.headers['content-length'] ?? 0) > MAX_BODY_BYTES) {
+    return 'tooLarge';
+  }
+  const headers = copyHeaders(req);
+  return {
+    method,
+    target,
+    version,
+    matched,
+    timeoutMs,
+    depth,
+    budget,
+    key,
+    headers,
+  };
+}
+
+function measureHead(req: IncomingMessage): number {
+  let size = req.url?.length ?? 0;
+  for (const text of req.rawHeaders) size += text.length + 2;
+  return size;
+}
+
+/** Headers that describe one connection, or that the forwarder sets. */
+const NOT_FORWARDED = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'idempotency-key',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+function copyHeaders(req: IncomingMessage): string[] {
+  const named = (req.headers.connection ?? '')
+    .split(',')
+    .map(name => name.trim().toLowerCase());
+  const headers: string[] = [];
+  for (let i = 0; i < req.rawHeaders.length; i += 2) {
+    const name = req.rawHeaders[i].toLowerCase();
+    if (NOT_FORWARDED.has(name) || name.startsWith('berylbend-')) continue;
+    if (named.includes(name)) continue;
+    headers.push(name, req.rawHeaders[i + 1]);
+  }
+  return headers;
+}
+
+/** True for a header of an answer that concerns one connection only. */
+export function isConnectionHeader(name: string): boolean {
+  return NOT_FORWARDED.has(name) && name !== 'content-length';
+}
+
+/** Bytes of request bodies held by an entry. */
+export interface BodyBudget {
+  bytes: number;
+}
+
+/**
+ * Reads a body into memory. Refuses it as `tooLarge` above the limit and as
+ * `full` when all bodies together exceed the budget; `gone` means that the
+ * customer stopped sending. The caller gives the bytes back to the budget.
+ */
+export function bufferBody(
+  req: IncomingMessage,
+  budget: BodyBudget,
+): Promise<Buffer | 'tooLarge' | 'full' | 'gone'> {
+  const {headers} = req;
+  if (!headers['content-length'] && !headers['transfer-encoding']) {
+    return Promise.resolve(Buffer.alloc(0));
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const settle = (result: Buffer | 'tooLarge' | 'full' | 'gone') => {
+      req.off('data', onData).off('end', onEnd).off('close', onClose);
+      if (typeof result === 'string') {
+        budget.bytes -= size;
+        req.resume();
+      }
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
+      size += chunk.length;
+      budget.bytes += chunk.length;
+      chunks.push(chunk);
+      if (size > MAX_BODY_BYTES) settle('tooLarge');
+      else if (budget.bytes > MAX_BUFFERED_BYTES) settle('full');
+    };
+    const onEnd = () => settle(Buffer.concat(chunks));
+    const onClose = () => settle('gone');
+    req.on('data', onData).on('end', onEnd).on('close', onClose);
+    req.on('error', () => {});
+  });
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -18,4 +18,7 @@
 export * from './core/reader.js';
 export * from './core/relay.js';
 export * from './core/membership.js';
+export * from './core/retry.js';
+export * from './core/routing.js';
+export * from './core/suspects.js';
 export * from './core/blackboard.js';
