--- a/__tests__/entry.test.ts
+++ b/__tests__/entry.test.ts
@@ -261,6 +261,7 @@
   t.true(written < total, `${written} of ${total} chunks`);
   let size = 0;
   res.on('data', (data: Buffer) => (size += data.length));
+  res.resume();
   await new Promise(resolve => res.on('end', resolve));
   t.is(size, total * chunk.length, 'the whole answer arrives');
   await stop();
@@ -304,35 +305,45 @@
   await stop();
 });
 
-test('a suspect request waits for its copy, and is cleared when that ends', async t => {
-  const {entry, owners, stop} = await startFleet([{}, {}]);
-  const finish: Array<() => void> = [];
-  for (const owner of owners) {
-    owner.step = ({headers}) => {
-      const id = String(headers['berylbend-id']);
-      return res => {
-        finish.push(() => {
-          res.writeHead(200, {'berylbend-id': id, 'berylbend-verdict': 'ran'});
-          res.end('done');
-        });
+test.serial(
+  'a suspect request waits for its copy, and is cleared when that ends',
+  async t => {
+    const clock = FakeTimers.install({toFake: ['setTimeout', 'clearTimeout']});
+    const {entry, owners, stop} = await startFleet([{}, {}]);
+    const finish: Array<() => void> = [];
+    for (const owner of owners) {
+      owner.step = ({headers}) => {
+        const id = String(headers['berylbend-id']);
+        return res => {
+          finish.push(() => {
+            res.writeHead(200, {
+              'berylbend-id': id,
+              'berylbend-verdict': 'ran',
+            });
+            res.end('done');
+          });
+        };
       };
-    };
-  }
-  // One copy crashes an upstream; the fingerprint is now a suspect.
-  const [steps] = [owners.map(owner => owner.step)];
-  owners.forEach(owner => (owner.step = () => 'upstreamCrashed'));
-  const headers = {'berylbend-budget': '0'};
-  await call(entry.port, 'GET', '/read/s', {headers});
-  owners.forEach((owner, i) => (owner.step = steps[i]));
-  const copies = [read(entry, 's'), read(entry, 's'), read(entry, 's')];
-  await until(() => entry.entry.countRunning() === 3 && finish.length > 0);
-  t.is(finish.length, 1, 'one upstream at a time');
-  finish[0]();
-  await until(() => finish.length === 3);
-  finish.slice(1).forEach(end => end());
-  for (const copy of copies) t.is((await copy).status, 200);
-  await stop();
-});
+    }
+    // One copy crashes an upstream; the fingerprint is now a suspect.
+    const steps = owners.map(owner => owner.step);
+    owners.forEach(owner => (owner.step = () => 'upstreamCrashed'));
+    const headers = {'berylbend-budget': '0'};
+    await call(entry.port, 'GET', '/read/s', {headers});
+    owners.forEach((owner, i) => (owner.step = steps[i]));
+    const copies = [read(entry, 's'), read(entry, 's'), read(entry, 's')];
+    await until(() => entry.entry.countRunning() === 3 && finish.length > 0);
+    t.is(finish.length, 1, 'one upstream at a time');
+    finish[0]();
+    await Promise.race(copies);
+    clock.tick(20);
+    await until(() => finish.length === 3);
+    finish.slice(1).forEach(end => end());
+    for (const copy of copies) t.is((await copy).status, 200);
+    clock.uninstall();
+    await stop();
+  },
+);
 
 test('two crashes refuse a request at all entries, and no other request', async t => {
   const {entry, owners, ledger, stop} = await startFleet(Array(5).fill({}));
--- /dev/null
+++ b/__tests__/entry_differential.test.ts
@@ -0,0 +1,184 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {CRASH_BUDGET, type MemberRecord} from '../src/internal.js';
+import {startNaiveProxy} from './support/naive_proxy.js';
+import {
+  call,
+  linkEntries,
+  startEntry,
+  startOwner,
+  type OwnerFake,
+  type Reply,
+  type Run,
+  type Step,
+} from './support/owner_fake.js';
+
+const UPSTREAMS = 4;
+
+/** One customer request with what happens at each of its arrivals. */
+interface Planned {
+  readonly booking: boolean;
+  readonly steps: Step[];
+  /** Upstreams that refuse connections while the request runs. */
+  readonly down: number[];
+}
+
+const FAULTS: Step[] = [
+  'answer',
+  'full',
+  'resetBefore',
+  'resetAfter',
+  'cut',
+  'crossed',
+  'deadlineTooShort',
+];
+
+const planned: fc.Arbitrary<Planned> = fc.record({
+  booking: fc.boolean(),
+  steps: fc.array(fc.constantFrom(...FAULTS), {maxLength: 4}),
+  down: fc.uniqueArray(fc.nat({max: UPSTREAMS - 1}), {maxLength: 2}),
+});
+
+const schedules = fc.array(planned, {minLength: 1, maxLength: 12});
+
+async function startOwners(
+  ledger: Run[],
+  count: number,
+): Promise<{owners: OwnerFake[]; records: MemberRecord[]}> {
+  const owners = await Promise.all(
+    Array.from({length: count}, (_, i) =>
+      startOwner(ledger, {id: `u${i}`, dataCentre: i % 2 ? 'dc-a' : 'dc-b'}),
+    ),
+  );
+  return {owners, records: owners.map(owner => owner.record)};
+}
+
+/** Faults of one reply as an audit of the ledger finds them. */
+function audit(
+  reply: Reply,
+  label: string,
+  booking: boolean,
+  ledger: readonly Run[],
+): string[] {
+  const runs = ledger.filter(run => run.label === label).length;
+  const faults: string[] = [];
+  if (booking && runs > 1) faults.push('ran twice');
+  if (reply.verdict === 'not-run' && runs > 0) faults.push('false not-run');
+  if (reply.status === 200 && reply.body !== `answer to ${label}`) {
+    faults.push('wrong answer');
+  }
+  return faults;
+}
+
+/** Plays generated schedules against one port; returns the faults found. */
+async function play(
+  port: number,
+  owners: readonly OwnerFake[],
+  ledger: Run[],
+  afterSchedule: () => void,
+): Promise<Map<string, number>> {
+  const found = new Map<string, number>();
+  let sequence = 0;
+  const property = fc.asyncProperty(schedules, async schedule => {
+    for (const {booking, steps, down} of schedule) {
+      const label = `request-${sequence++}`;
+      let arrivals = 0;
+      for (const owner of owners) {
+        owner.step = () => steps[arrivals++] ?? 'answer';
+      }
+      await Promise.all(down.map(i => owners[i].stop()));
+      const headers = {'x-label': label};
+      const path = booking ? '/book' : '/read';
+      const method = booking ? 'POST' : 'GET';
+      const reply = await call(port, method, path, {headers});
+      await Promise.all(down.map(i => owners[i].start()));
+      for (const fault of audit(reply, label, booking, ledger)) {
+        found.set(fault, (found.get(fault) ?? 0) + 1);
+      }
+    }
+    afterSchedule();
+  });
+  await fc.assert(property, {seed: 41, numRuns: 40, endOnFailure: true});
+  return found;
+}
+
+test('no booking runs twice and no refusal lies, unlike blind retries', async t => {
+  const ledger: Run[] = [];
+  const {owners, records} = await startOwners(ledger, UPSTREAMS);
+  const entry = await startEntry(records);
+  const found = await play(entry.port, owners, ledger, () => {
+    entry.now += 60_000;
+  });
+  t.deepEqual([...found], []);
+  const naive = await startNaiveProxy(records);
+  const broken = await play(naive.port, owners, ledger, () => {});
+  t.true((broken.get('ran twice') ?? 0) > 0);
+  t.true((broken.get('false not-run') ?? 0) > 0);
+  await naive.stop();
+  await entry.stop();
+  await Promise.all(owners.map(owner => owner.stop()));
+});
+
+/** Sends a crashing request in parallel and then again and again. */
+async function poison(
+  ports: readonly number[],
+  owners: readonly OwnerFake[],
+  ledger: Run[],
+  parallel: number,
+  booking: boolean,
+): Promise<number> {
+  const before = ledger.length;
+  const send = (i: number) =>
+    call(
+      ports[i % ports.length],
+      booking ? 'POST' : 'GET',
+      booking ? '/book' : '/read',
+      {headers: {'x-label': 'poison'}},
+    );
+  const revive = () => owners.forEach(owner => (owner.crashed = false));
+  await Promise.all(Array.from({length: parallel}, (_, i) => send(i)));
+  for (let i = 0; i < 8; i++) {
+    // Upstreams come back at once: the worst case for the next copy.
+    revive();
+    await send(i);
+  }
+  revive();
+  return ledger.length - before;
+}
+
+test('a request that crashes upstreams stops after its budget', async t => {
+  const ledger: Run[] = [];
+  const {owners, records} = await startOwners(ledger, 8);
+  for (const owner of owners) {
+    owner.step = ({label}) => (label === 'poison' ? 'crash' : 'answer');
+  }
+  const scenario = fc.record({
+    entries: fc.integer({min: 1, max: 3}),
+    parallel: fc.integer({min: 1, max: 3}),
+    booking: fc.boolean(),
+  });
+  await fc.assert(
+    fc.asyncProperty(scenario, async ({entries: size, parallel, booking}) => {
+      const entries = await Promise.all(
+        Array.from({length: size}, (_, i) =>
+          startEntry(records, {id: `entry-${i}`, seed: i + 1}),
+        ),
+      );
+      linkEntries(entries);
+      const ports = entries.map(entry => entry.port);
+      const crashes = await poison(ports, owners, ledger, parallel, booking);
+      const fine = await call(ports[0], 'GET', '/read/fine', {
+        headers: {'x-label': 'fine'},
+      });
+      await Promise.all(entries.map(entry => entry.stop()));
+      // The copies in flight when the first report arrives come on top.
+      return crashes <= CRASH_BUDGET + parallel - 1 && fine.status === 200;
+    }),
+    {seed: 43, numRuns: 30},
+  );
+  const naive = await startNaiveProxy(records);
+  const broken = await poison([naive.port], owners, ledger, 1, true);
+  t.true(broken > CRASH_BUDGET, String(broken));
+  await naive.stop();
+  await Promise.all(owners.map(owner => owner.stop()));
+});
--- a/__tests__/support/owner_fake.ts
+++ b/__tests__/support/owner_fake.ts
@@ -1,4 +1,5 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {
   FORWARD_PREFIX,
@@ -152,11 +153,10 @@
   );
 }
 
-function listen(server: http.Server, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, '127.0.0.1', resolve);
-  });
+async function listen(server: http.Server, port: number): Promise<void> {
+  const listening = once(server, 'listening');
+  server.listen(port, '127.0.0.1');
+  await listening;
 }
 
 function closeServer(server: http.Server): Promise<void> {
--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
   FORWARD_PREFIX,
   HEADERS,
@@ -81,7 +80,7 @@
   const judge = () => judgeRequest(board.suspects, exchange.fingerprint, now());
   let judgement = judge();
   for (let i = 0; i < HOLD_POLLS && judgement.action === 'wait'; i++) {
-    await sleep(HOLD_POLL_MS);
+    await new Promise(resolve => setTimeout(resolve, HOLD_POLL_MS));
     if (exchange.over) break;
     judgement = judge();
   }
