Wire a thin daemon with settings, admin port and command line

Cause: the whole path has to run as separate processes before the parts are filled in. Ruled out: an injected clock object; the runtime's clock is enough, since core functions take the time as an argument.

--- /dev/null
+++ b/src/cli/commands/daemon.ts
@@ -0,0 +1,27 @@
+import {Command, Flags} from '@oclif/core';
+import {startDaemon} from '../../daemon/daemon.js';
+import {loadSettings} from '../../daemon/settings.js';
+
+/** Runs one daemon until SIGTERM or SIGINT. */
+export class DaemonCommand extends Command {
+  static override description =
+    'Run the daemon beside one upstream until SIGTERM, then stop gracefully.';
+  static override examples = ['<%= config.bin %> daemon --config daemon.yaml'];
+  static override flags = {
+    config: Flags.string({
+      char: 'c',
+      required: true,
+      description: 'settings file (YAML)',
+    }),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(DaemonCommand);
+    const daemon = await startDaemon(loadSettings(flags.config));
+    await new Promise<void>(resolve => {
+      process.once('SIGTERM', resolve);
+      process.once('SIGINT', resolve);
+    });
+    await daemon.stop();
+  }
+}
--- /dev/null
+++ b/src/daemon/admin.ts
@@ -0,0 +1,48 @@
+import {createServer, type Server} from 'node:http';
+import polka from 'polka';
+
+/** What the admin port shows; nothing there changes state. */
+export interface AdminViews {
+  isReady(): boolean;
+  readStatus(): unknown;
+  readTimeline(): unknown;
+  readMetrics(): Promise<string>;
+}
+
+/** Largest header block accepted on the admin port, bytes. */
+const MAX_ADMIN_HEADER_BYTES = 8_192;
+
+/** Creates the server of the admin port; the caller listens. */
+export function createAdmin(views: AdminViews): Server {
+  const server = createServer({maxHeaderSize: MAX_ADMIN_HEADER_BYTES});
+  const app = polka({server});
+  app.get('/live', (_req, res) => res.end('live\n'));
+  app.get('/ready', (_req, res) => {
+    const ready = views.isReady();
+    res.statusCode = ready ? 200 : 503;
+    res.end(ready ? 'ready\n' : 'not ready\n');
+  });
+  app.get('/status', (_req, res) => {
+    res.setHeader('content-type', 'application/json');
+    res.end(JSON.stringify(views.readStatus()));
+  });
+  app.get('/timeline', (_req, res) => {
+    res.setHeader('content-type', 'application/json');
+    res.end(JSON.stringify(views.readTimeline()));
+  });
+  app.get('/metrics', (_req, res) => {
+    views.readMetrics().then(
+      text => {
+        res.setHeader('content-type', 'text/plain; version=0.0.4');
+        res.end(text);
+      },
+      () => {
+        res.statusCode = 500;
+        res.end('metrics failed\n');
+      },
+    );
+  });
+  // polka attaches its handler in listen(); the caller listens on the server.
+  server.on('request', app.handler.bind(app) as never);
+  return server;
+}
--- /dev/null
+++ b/src/daemon/log.ts
@@ -0,0 +1,36 @@
+import bunyan from 'bunyan';
+import type {EventKind, Settings, TimelineEvent} from '../internal.js';
+
+/** Event kinds that are logged as warnings; all others as information. */
+const WARNING_KINDS: ReadonlySet<EventKind> = new Set([
+  'configConflict',
+  'sourceFailed',
+  'sourceStale',
+  'viewStale',
+  'upstreamDown',
+  'upstreamStalled',
+  'upstreamCrashed',
+]);
+
+/** Kinds that stay out of the log, because there may be one per request. */
+const UNLOGGED_KINDS: ReadonlySet<EventKind> = new Set([
+  'refused',
+  'limitChanged',
+]);
+
+/** Creates the JSON log of a daemon: one line per change of state. */
+export function createLog(settings: Settings): bunyan {
+  return bunyan.createLogger({
+    name: 'berylbend',
+    id: settings.id,
+    dataCentre: settings.dataCentre,
+    level: settings.log.level,
+  });
+}
+
+/** Writes the line of one event. */
+export function logEvent(log: bunyan, event: TimelineEvent): void {
+  if (UNLOGGED_KINDS.has(event.kind)) return;
+  const level = WARNING_KINDS.has(event.kind) ? 'warn' : 'info';
+  log[level]({event: event.kind, ...event.detail}, event.kind);
+}
--- /dev/null
+++ b/src/daemon/metrics.ts
@@ -0,0 +1,82 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Registry} from 'prom-client';
+import type {Board} from '../internal.js';
+
+/** Largest latency that a histogram records, µs (one hour). */
+const MAX_LATENCY_US = 3_600_000_000;
+
+/** Percentiles shown for each histogram. */
+const PERCENTILES = [50, 90, 99, 99.9];
+
+/** Latency histograms of one daemon, µs, by name. */
+export interface Metrics {
+  readonly histograms: Map<string, Histogram>;
+}
+
+/** Creates empty metrics. */
+export function createMetrics(): Metrics {
+  return {histograms: new Map()};
+}
+
+/** Records one latency, ms. */
+export function recordLatency(
+  metrics: Metrics,
+  name: string,
+  ms: number,
+): void {
+  let histogram = metrics.histograms.get(name);
+  if (!histogram) {
+    histogram = build({
+      highestTrackableValue: MAX_LATENCY_US,
+      numberOfSignificantValueDigits: 2,
+      bitBucketSize: 64,
+    });
+    metrics.histograms.set(name, histogram);
+  }
+  const us = Math.round(ms * 1_000);
+  histogram.recordValue(Math.min(Math.max(us, 0), MAX_LATENCY_US));
+}
+
+/** Renders counters, gauges and percentiles in the Prometheus text format. */
+export async function renderMetrics(
+  board: Board,
+  metrics: Metrics,
+  gauges: Record<string, number>,
+): Promise<string> {
+  const registry = new Registry();
+  for (const [name, value] of board.counters) {
+    const counter = new Counter({
+      name: toMetricName(name, '_total'),
+      help: `Count of ${name}.`,
+      registers: [registry],
+    });
+    counter.inc(value);
+  }
+  for (const [name, value] of Object.entries(gauges)) {
+    const gauge = new Gauge({
+      name: toMetricName(name),
+      help: `Current ${name}.`,
+      registers: [registry],
+    });
+    gauge.set(value);
+  }
+  for (const [name, histogram] of metrics.histograms) {
+    const gauge = new Gauge({
+      name: toMetricName(name, '_seconds'),
+      help: `Percentiles of ${name}.`,
+      labelNames: ['quantile'],
+      registers: [registry],
+    });
+    for (const percentile of PERCENTILES) {
+      const us = histogram.getValueAtPercentile(percentile);
+      gauge.set({quantile: String(percentile / 100)}, us / 1_000_000);
+    }
+  }
+  return registry.metrics();
+}
+
+function toMetricName(name: string, suffix = ''): string {
+  const snake = name.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+  const safe = snake.replace(/[^a-z0-9_]/g, '_');
+  return `berylbend_${safe}${safe.endsWith(suffix) ? '' : suffix}`;
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,99 @@
+import {readFileSync} from 'node:fs';
+import {isNode, LineCounter, parseDocument, type Document} from 'yaml';
+import {
+  BerylbendError,
+  settingsSchema,
+  type Checked,
+  type Settings,
+} from '../internal.js';
+
+/** Reads and checks a settings file; throws `badFile` or `badSettings`. */
+export function loadSettings(file: string): Settings {
+  const checked = parseSettings(readText(file), file);
+  if (!checked.ok) throw new BerylbendError('badSettings', checked.faults);
+  return checked.value;
+}
+
+/** Reads a text file; throws `badFile`. */
+export function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (err) {
+    throw new BerylbendError('badFile', [file], err as Error);
+  }
+}
+
+/** Checks the text of a settings file; faults name file, line and path. */
+export function parseSettings(text: string, file: string): Checked<Settings> {
+  const lines = new LineCounter();
+  const yaml = parseDocument(text, {lineCounter: lines});
+  if (yaml.errors.length > 0) {
+    const faults = yaml.errors.map(err => {
+      const {line} = lines.linePos(err.pos[0]);
+      return `${file}:${line}: ${err.message.split('\n')[0]}`;
+    });
+    return {ok: false, faults};
+  }
+  const parsed = settingsSchema.safeParse(yaml.toJS());
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map(issue => {
+      const line = findLine(yaml, lines, issue.path);
+      const path = issue.path.join('.') || '(file)';
+      return `${file}:${line}: ${path}: ${issue.message}`;
+    });
+    return {ok: false, faults};
+  }
+  const faults = findConflicts(parsed.data).map(({path, text: reason}) => {
+    return `${file}:${findLine(yaml, lines, path)}: ${path.join('.')}: ${reason}`;
+  });
+  return faults.length > 0
+    ? {ok: false, faults}
+    : {ok: true, value: parsed.data};
+}
+
+/** Line of the deepest part of a path that the file has. */
+function findLine(
+  yaml: Document,
+  lines: LineCounter,
+  path: readonly PropertyKey[],
+): number {
+  for (let depth = path.length; depth > 0; depth--) {
+    const node = yaml.getIn(path.slice(0, depth), true);
+    if (isNode(node) && node.range) return lines.linePos(node.range[0]).line;
+  }
+  return 1;
+}
+
+interface Conflict {
+  path: string[];
+  text: string;
+}
+
+/** Combinations that pass the schema but could never work. */
+function findConflicts(settings: Settings): Conflict[] {
+  const {listen, advertiseHost, upstream} = settings;
+  const faults: Conflict[] = [];
+  const ports = [listen.customerPort, listen.peerPort, listen.adminPort];
+  if (new Set(ports).size < ports.length) {
+    faults.push({path: ['listen'], text: 'the three ports must differ'});
+  }
+  if (isWildcard(listen.host) && advertiseHost === undefined) {
+    const text = `required when listening on ${listen.host}`;
+    faults.push({path: ['advertiseHost'], text});
+  }
+  if (advertiseHost !== undefined && isWildcard(advertiseHost)) {
+    const text = 'must be an address that other daemons can reach';
+    faults.push({path: ['advertiseHost'], text});
+  }
+  const url = new URL(upstream.url);
+  const ownPort = ports.includes(Number(url.port));
+  if (ownPort && url.hostname === (advertiseHost ?? listen.host)) {
+    const text = 'is one of the ports of this daemon';
+    faults.push({path: ['upstream', 'url'], text});
+  }
+  return faults;
+}
+
+function isWildcard(host: string): boolean {
+  return host === '0.0.0.0' || host === '::';
+}
--- /dev/null
+++ b/src/daemon/source.ts
@@ -0,0 +1,96 @@
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {
+  BerylbendError,
+  entrySchema,
+  memberSchema,
+  type Entry,
+  type ErrorCode,
+  type MemberRecord,
+} from '../internal.js';
+
+/** Time beyond the long poll after which a read counts as failed, ms. */
+export const READ_GRACE_MS = 2_000;
+
+/** Largest reply accepted from the platform, bytes. */
+export const MAX_REPLY_BYTES = 64 * 1_048_576;
+
+const replySchema = z.object({
+  index: z.int().min(0),
+  entries: z.array(entrySchema),
+});
+
+const listSchema = z.object({instances: z.array(memberSchema)});
+
+/** Reply of the configuration service. */
+export interface SourceReply {
+  /** Index of the newest entry that the service knows. */
+  index: number;
+  /** Entries after the asked index, in order. */
+  entries: Entry[];
+}
+
+const agent = new Agent({
+  connections: 2,
+  pipelining: 1,
+  maxResponseSize: MAX_REPLY_BYTES,
+});
+
+/** Long-polls the configuration service; throws `sourceFailed`. */
+export async function readSource(
+  url: string,
+  after: number,
+  waitMs: number,
+  signal: AbortSignal,
+): Promise<SourceReply> {
+  const target = `${url}/v1/entries?after=${after}&waitMs=${waitMs}`;
+  const limit = AbortSignal.timeout(waitMs + READ_GRACE_MS);
+  const body = await readJson(
+    target,
+    AbortSignal.any([signal, limit]),
+    'sourceFailed',
+  );
+  return checkReply(replySchema, body, 'sourceFailed');
+}
+
+/** Reads the instance list; throws `listFailed`. */
+export async function readList(
+  url: string,
+  signal: AbortSignal,
+): Promise<MemberRecord[]> {
+  const limit = AbortSignal.timeout(READ_GRACE_MS);
+  const body = await readJson(
+    `${url}/v1/instances`,
+    AbortSignal.any([signal, limit]),
+    'listFailed',
+  );
+  return checkReply(listSchema, body, 'listFailed').instances;
+}
+
+async function readJson(
+  url: string,
+  signal: AbortSignal,
+  code: ErrorCode,
+): Promise<unknown> {
+  try {
+    const res = await request(url, {dispatcher: agent, signal});
+    if (res.statusCode !== 200) {
+      await res.body.dump();
+      throw new Error(`status ${res.statusCode}`);
+    }
+    return await res.body.json();
+  } catch (err) {
+    throw new BerylbendError(code, [], err as Error);
+  }
+}
+
+function checkReply<T>(
+  schema: z.ZodType<T>,
+  body: unknown,
+  code: ErrorCode,
+): T {
+  const parsed = schema.safeParse(body);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  throw new BerylbendError(code, [`${issue.path.join('.')}: ${issue.message}`]);
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -19,3 +19,4 @@
 export * from './core/relay.js';
 export * from './core/membership.js';
 export * from './core/blackboard.js';
+export * from './core/control.js';
