--- a/src/cli/commands/daemon.ts
+++ b/src/cli/commands/daemon.ts
@@ -1,9 +1,10 @@
-import {Command, Flags} from '@oclif/core';
+import {Flags} from '@oclif/core';
 import {startDaemon} from '../../daemon/daemon.js';
 import {loadSettings} from '../../daemon/settings.js';
+import {BaseCommand} from '../base.js';
 
 /** Runs one daemon until SIGTERM or SIGINT. */
-export class DaemonCommand extends Command {
+export class DaemonCommand extends BaseCommand {
   static override description =
     'Run the daemon beside one upstream until SIGTERM, then stop gracefully.';
   static override examples = ['<%= config.bin %> daemon --config daemon.yaml'];
--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -5,6 +5,8 @@
 export interface AdminViews {
   isReady(): boolean;
   readStatus(): unknown;
+  /** Version in force with its document; undefined when there is none. */
+  readDocument(): unknown;
   readTimeline(): unknown;
   readMetrics(): Promise<string>;
 }
@@ -26,6 +28,12 @@
     res.setHeader('content-type', 'application/json');
     res.end(JSON.stringify(views.readStatus()));
   });
+  app.get('/document', (_req, res) => {
+    const document = views.readDocument();
+    res.statusCode = document === undefined ? 503 : 200;
+    res.setHeader('content-type', 'application/json');
+    res.end(JSON.stringify(document ?? {error: 'no-config'}));
+  });
   app.get('/timeline', (_req, res) => {
     res.setHeader('content-type', 'application/json');
     res.end(JSON.stringify(views.readTimeline()));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -94,6 +94,7 @@
   const adminServer = createAdmin({
     isReady: () => board.config.inForce !== undefined && !board.viewStale,
     readStatus: () => describeStatus(board, now()),
+    readDocument: () => board.config.inForce,
     readTimeline: () => ({
       dropped: board.timeline.dropped,
       events: board.timeline.events,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -37,8 +37,11 @@
   const parsed = settingsSchema.safeParse(yaml.toJS());
   if (!parsed.success) {
     const faults = parsed.error.issues.map(issue => {
-      const line = findLine(yaml, lines, issue.path);
-      const path = issue.path.join('.') || '(file)';
+      const unknownKeys =
+        issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
+      const where = [...issue.path, ...unknownKeys];
+      const line = findLine(yaml, lines, where);
+      const path = where.join('.') || '(file)';
       return `${file}:${line}: ${path}: ${issue.message}`;
     });
     return {ok: false, faults};
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -9,6 +9,15 @@
   confirmed: boolean;
 }
 
+/** Load of the upstream as shown to operators. */
+export interface UpstreamStatus {
+  limit: number;
+  inFlight: number;
+  queued: number;
+  cold: boolean;
+  stalled: boolean;
+}
+
 /** Status of a daemon as served on the admin port. */
 export interface Status {
   id: string;
@@ -21,6 +30,8 @@
   /** Data centres and their state in the version in force. */
   dataCentres: Record<string, string>;
   viewStale: boolean;
+  /** Load of the upstream beside the daemon; absent until it is known. */
+  upstream?: UpstreamStatus;
   /** Age of our newest reply from the configuration service, ms; -1 none. */
   sourceAgeMs: number;
   refusals: Refusal[];
