Add member table, merge rule, suspicion and the instance list

Cause: the mesh needs one view of who is live. Records merge by a total order, so the order of arrival does not matter. A rumour that a member is gone is held as suspect for SUSPECT_MS in every daemon; believing it at once would empty the candidate lists of a whole data centre when a partition heals. Ruled out: marking leaving members from the list on every read, which flaps while a lagging list describes the previous process. Beats get the optional fields ask and echo, because only a round trip shows that a resumed daemon is connected; buffered beats prove nothing.

--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -1,7 +1,7 @@
 import type {MemberRecord, PeerMessage} from '../types/messages.js';
 import type {Random} from '../utils/random.js';
 import {createConfigState, type ConfigState} from './config.js';
-import {createMemberTable, type MemberTable} from './membership.js';
+import {createMemberTable, type MemberTable} from './members.js';
 import {createReaderState, type ReaderState} from './reader.js';
 import {createRelayState, type RelayState} from './relay.js';
 import {createTimeline, type Timeline} from './timeline.js';
--- /dev/null
+++ b/src/core/instances.ts
@@ -0,0 +1,96 @@
+import type {MemberRecord} from '../types/messages.js';
+import {rankByRendezvous} from '../utils/hash.js';
+import type {Board, Effect} from './blackboard.js';
+import {announceSelf, changeRecord, isUsable} from './dissemination.js';
+import {storeRecord, type Member} from './members.js';
+import {listMembers} from './membership.js';
+
+/** Interval of list reads by the first two ranks of a data centre, ms. */
+export const LIST_EVERY_MS = 10_000;
+
+/** Interval of list reads by all others, ms. They hear changes from peers. */
+export const LIST_EVERY_OTHERS_MS = 60_000;
+
+/** Merges the instance list. It never marks a member as gone. */
+export function handleList(
+  board: Board,
+  records: MemberRecord[],
+  now: number,
+): Effect[] {
+  const table = board.members;
+  const named = new Set(records.map(record => record.id));
+  table.listSeen = true;
+  table.nextListAt = now + computeListInterval(board);
+  for (const record of records) {
+    if (record.id === board.self.id) noteOwnListing(board, record);
+    else noteListed(board, record, now);
+  }
+  for (const member of table.byId.values()) {
+    if (named.has(member.record.id)) continue;
+    member.listed = false;
+    member.listState = undefined;
+    const {incarnation, state} = member.record;
+    // Nobody has ever heard this one, so nobody else will time it out.
+    if (incarnation === 0 && state === 'live') {
+      changeRecord(board, {...member.record, state: 'suspect'}, now);
+    }
+  }
+  return [];
+}
+
+function noteOwnListing(board: Board, record: MemberRecord): void {
+  const {self, members} = board;
+  if (!members.markedLeaving || record.state !== 'live') return;
+  announceSelf(board, self.incarnation + 1);
+}
+
+function noteListed(board: Board, listed: MemberRecord, now: number): void {
+  const state = listed.state === 'leaving' ? 'leaving' : 'live';
+  let member = board.members.byId.get(listed.id);
+  if (member === undefined) {
+    const record = {...listed, incarnation: 0, boot: '', state} as MemberRecord;
+    member = storeRecord(board.members, record, now);
+  }
+  const before = member.listState;
+  member.listed = true;
+  member.listState = state;
+  const {record} = member;
+  if (!hasSameAddress(record, listed)) {
+    moveAddress(board, member, listed, now);
+    return;
+  }
+  // Only the change to leaving counts: a member that refuted it, because the
+  // list described its previous process, is not marked again.
+  if (state === 'leaving' && before !== 'leaving' && isUsable(record.state)) {
+    changeRecord(board, {...record, state}, now);
+  }
+}
+
+function hasSameAddress(a: MemberRecord, b: MemberRecord): boolean {
+  return a.host === b.host && a.peerPort === b.peerPort;
+}
+
+/** Takes a new address for a member that cannot be reached at the old one. */
+function moveAddress(
+  board: Board,
+  member: Member,
+  listed: MemberRecord,
+  now: number,
+): void {
+  const {record} = member;
+  if (record.incarnation > 0 && record.state !== 'gone') return;
+  const {host, customerPort, peerPort} = listed;
+  storeRecord(
+    board.members,
+    {...record, host, customerPort, peerPort},
+    now,
+  ).nextDialAt = now;
+}
+
+function computeListInterval(board: Board): number {
+  const {dataCentre, id} = board.self;
+  const ids = listMembers(board, {dataCentre}).map(record => record.id);
+  const rank = rankByRendezvous(`reader/${dataCentre}`, ids).indexOf(id);
+  const interval = rank < 2 ? LIST_EVERY_MS : LIST_EVERY_OTHERS_MS;
+  return interval * (0.75 + board.random() / 2);
+}
--- /dev/null
+++ b/src/core/members.ts
@@ -0,0 +1,167 @@
+import {
+  MEMBER_BUCKETS,
+  MEMBER_STATES,
+  type MemberRecord,
+  type MemberState,
+} from '../types/messages.js';
+import {hash32} from '../utils/hash.js';
+
+/** A member as known here. */
+export interface Member {
+  record: MemberRecord;
+  /** Monotonic time of the last sign of life, direct or relayed, ms. */
+  heardAt: number;
+  /** Monotonic time at which the record took its present state, ms. */
+  changedAt: number;
+  /** True while the instance list names it. */
+  listed: boolean;
+  /** State in the newest list that named it. */
+  listState?: 'live' | 'leaving';
+  /** True after a link to it broke, until a dial shows whether it lives. */
+  probe: boolean;
+  /** Dials that failed in a row. */
+  dialFailures: number;
+  /** Earliest monotonic time of the next dial, ms. */
+  nextDialAt: number;
+}
+
+/** Exchange of buckets with one peer. */
+export interface BucketExchange {
+  askedAt: number;
+  /** Buckets that differed at the peer's newest beat. */
+  differing: number[];
+}
+
+/** Member table of one daemon, by id; excludes the daemon itself. */
+export interface MemberTable {
+  readonly byId: Map<string, Member>;
+  /** XOR of the record hashes in each bucket, without the daemon itself. */
+  readonly buckets: number[];
+  /** Ids of changed records to send, with the peers that know them. */
+  readonly pending: Map<string, Set<string>>;
+  readonly exchanges: Map<string, BucketExchange>;
+  /** Monotonic time of the last tick, ms. */
+  lastTickAt?: number;
+  /** Monotonic time at which the view became stale, ms. */
+  staleSince?: number;
+  /** Nonce that a beat must echo to make a stale view fresh. */
+  ask?: number;
+  /** True until the beat that asks has been sent. */
+  askDue: boolean;
+  /** Monotonic time since which a stale daemon has had no link, ms. */
+  aloneSince?: number;
+  /** True once a peer was asked for its whole table. */
+  askedAll: boolean;
+  /** True once a list was read. */
+  listSeen: boolean;
+  nextListAt: number;
+  /** True while others were told that this daemon is leaving. */
+  markedLeaving: boolean;
+}
+
+/** Creates an empty member table. */
+export function createMemberTable(): MemberTable {
+  return {
+    byId: new Map(),
+    buckets: new Array<number>(MEMBER_BUCKETS).fill(0),
+    pending: new Map(),
+    exchanges: new Map(),
+    askDue: false,
+    askedAll: false,
+    listSeen: false,
+    nextListAt: 0,
+    markedLeaving: false,
+  };
+}
+
+/** Precedence of a state at equal incarnation. */
+export function rankState(state: MemberState): number {
+  return MEMBER_STATES.indexOf(state);
+}
+
+/**
+ * Orders two records of one id; positive when `a` wins. The order is total, so
+ * merging gives the same record whatever the order of arrival.
+ */
+export function compareRecords(a: MemberRecord, b: MemberRecord): number {
+  return (
+    a.incarnation - b.incarnation ||
+    rankState(a.state) - rankState(b.state) ||
+    compareText(describe(a), describe(b))
+  );
+}
+
+/** Returns the record that wins. */
+export function mergeRecords(a: MemberRecord, b: MemberRecord): MemberRecord {
+  return compareRecords(a, b) >= 0 ? a : b;
+}
+
+function describe(r: MemberRecord): string {
+  const places = [r.dataCentre, r.region, r.service, r.host];
+  return [r.boot, ...places, r.customerPort, r.peerPort].join(' ');
+}
+
+function compareText(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
+
+/** Bucket that an id belongs to. */
+export function bucketOf(id: string): number {
+  return hash32(id) % MEMBER_BUCKETS;
+}
+
+/**
+ * Hash of what peers must agree on. Gone members are left out, because peers
+ * forget them at different times; suspicion is left out, because every
+ * daemon times it alone.
+ */
+export function hashRecord(record: MemberRecord): number {
+  if (record.state === 'gone') return 0;
+  const state = record.state === 'leaving' ? 'leaving' : 'live';
+  return hash32(`${record.id} ${record.incarnation} ${record.boot} ${state}`);
+}
+
+/** Stores a record and keeps the bucket hashes up to date. */
+export function storeRecord(
+  table: MemberTable,
+  record: MemberRecord,
+  now: number,
+): Member {
+  const bucket = bucketOf(record.id);
+  let member = table.byId.get(record.id);
+  if (member === undefined) {
+    member = {
+      record,
+      heardAt: now,
+      changedAt: now,
+      listed: false,
+      probe: false,
+      dialFailures: 0,
+      nextDialAt: 0,
+    };
+    table.byId.set(record.id, member);
+  } else {
+    if (member.record.state !== record.state) member.changedAt = now;
+    toggleHash(table, bucket, member.record);
+    member.record = record;
+  }
+  toggleHash(table, bucket, record);
+  return member;
+}
+
+/** Removes a member. */
+export function forgetMember(table: MemberTable, id: string): void {
+  const member = table.byId.get(id);
+  if (member === undefined) return;
+  toggleHash(table, bucketOf(id), member.record);
+  table.byId.delete(id);
+  table.pending.delete(id);
+}
+
+function toggleHash(
+  table: MemberTable,
+  bucket: number,
+  record: MemberRecord,
+): void {
+  table.buckets[bucket] = (table.buckets[bucket] ^ hashRecord(record)) >>> 0;
+}
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,20 +1,294 @@
-import type {MemberRecord} from '../types/messages.js';
+import type {MemberRecord, MemberState, MessageOf} from '../types/messages.js';
+import {count, type Board, type Effect} from './blackboard.js';
+import {
+  announceSelf,
+  changeRecord,
+  flushPending,
+  isDoubt,
+  isUsable,
+  sendChunks,
+  sendRecords,
+} from './dissemination.js';
+import {
+  bucketOf,
+  compareRecords,
+  forgetMember,
+  hashRecord,
+  rankState,
+  type Member,
+} from './members.js';
+import {endStale, tickStaleness} from './staleness.js';
+import {recordEvent} from './timeline.js';
 
-/** A member as known here. */
-export interface Member {
-  record: MemberRecord;
-  /** Monotonic time of the last sign of life, direct or relayed, ms. */
-  heardAt: number;
-  /** True while the instance list names it. */
-  listed: boolean;
+/** Interval of heartbeats, ms. */
+export const BEAT_MS = 2_000;
+
+/** Silence after which a link is closed: three missed heartbeats, ms. */
+export const SILENT_MS = 3 * BEAT_MS;
+
+/** Time from suspect to gone unless refuted, ms. */
+export const SUSPECT_MS = 6_000;
+
+/** Least time between two bucket exchanges on one link, ms. */
+export const EXCHANGE_MS = 5_000;
+
+/** Time that a gone member no longer listed stays known, ms. */
+export const GONE_KEEP_MS = 60_000;
+
+/**
+ * Age below which a daemon refutes that it is leaving, ms. The list lags, so
+ * it may still describe the previous process of the same id.
+ */
+export const LIST_LAG_MS = 60_000;
+
+/** Mean time to the next list read after one without a reply, ms. */
+const LIST_RETRY_MS = 2_000;
+
+/** Reasons for a closed link that say nothing against the peer. */
+const HARMLESS_CLOSES = new Set(['full', 'surplus', 'duplicate', 'leaving']);
+
+/** Filter of `listMembers`; absent fields match all. */
+export interface MemberFilter {
+  dataCentre?: string;
+  service?: string;
+  /** Live and suspect when absent. */
+  states?: readonly MemberState[];
+}
+
+const USABLE_STATES: readonly MemberState[] = ['live', 'suspect'];
+
+/** Lists matching records, the daemon's own included. */
+export function listMembers(
+  board: Board,
+  filter: MemberFilter = {},
+): MemberRecord[] {
+  const states = filter.states ?? USABLE_STATES;
+  const matches = (record: MemberRecord): boolean =>
+    states.includes(record.state) &&
+    (filter.service === undefined || record.service === filter.service) &&
+    (filter.dataCentre === undefined ||
+      record.dataCentre === filter.dataCentre);
+  const found = matches(board.self) ? [board.self] : [];
+  for (const {record} of board.members.byId.values()) {
+    if (matches(record)) found.push(record);
+  }
+  return found;
+}
+
+/** True while a link to the peer carries messages. */
+export function isHeard(board: Board, id: string, now: number): boolean {
+  const link = board.links.get(id);
+  return link !== undefined && now - link.heardAt < SILENT_MS;
+}
+
+/** Bucket hashes of the member table, the daemon itself included. */
+export function computeBuckets(board: Board): number[] {
+  const buckets = [...board.members.buckets];
+  const own = bucketOf(board.self.id);
+  buckets[own] = (buckets[own] ^ hashRecord(board.self)) >>> 0;
+  return buckets;
+}
+
+/** Merges records from a peer; a leaving member is passed on at once. */
+export function handleMembers(
+  board: Board,
+  from: string,
+  msg: MessageOf<'members'>,
+  now: number,
+): Effect[] {
+  const effects: Effect[] = [];
+  let urgent = false;
+  for (const record of msg.records) {
+    if (record.id === board.self.id) {
+      judgeOwnRecord(board, record, now);
+      continue;
+    }
+    if (!mergeRemote(board, from, record, now, effects)) continue;
+    urgent ||= record.state === 'leaving';
+  }
+  if (urgent) effects.push(...flushPending(board));
+  return effects;
+}
+
+/** Merges one record; true when it changed the table. */
+function mergeRemote(
+  board: Board,
+  from: string,
+  record: MemberRecord,
+  now: number,
+  effects: Effect[],
+): boolean {
+  const {byId, pending} = board.members;
+  const known = byId.get(record.id);
+  if (known === undefined) {
+    // A gone member that is not known here needs no action.
+    if (record.state === 'gone') return false;
+    changeRecord(board, record, now, from);
+    return true;
+  }
+  const order = compareRecords(record, known.record);
+  if (order === 0) pending.get(record.id)?.add(from);
+  if (order <= 0) return false;
+  if (isDoubt(record.state) && isHeard(board, record.id, now)) {
+    // Direct contact is better evidence; the member itself has to refute it.
+    effects.push(sendRecords(record.id, [record]));
+    return false;
+  }
+  if (record.state === 'gone' && isUsable(known.record.state)) {
+    // After a partition the other side reports live members as gone. Each
+    // daemon therefore gives them the time to refute before it believes it.
+    if (known.record.state === 'suspect') return false;
+    record = {...record, state: 'suspect'};
+  }
+  changeRecord(board, record, now, from);
+  return true;
+}
+
+/** Refutes a record of this daemon that is wrong. */
+function judgeOwnRecord(board: Board, record: MemberRecord, now: number): void {
+  const {self, members} = board;
+  if (record.incarnation < self.incarnation) return;
+  if (record.incarnation === self.incarnation && record.boot === self.boot) {
+    if (rankState(record.state) <= rankState(self.state)) return;
+    if (record.state === 'leaving' && now - board.startedAt >= LIST_LAG_MS) {
+      members.markedLeaving = true;
+      return;
+    }
+  }
+  announceSelf(board, record.incarnation + 1);
+  count(board, 'member_refutations');
+}
+
+/** Sends the records of the buckets that a peer asks for. */
+export function handleWantMembers(
+  board: Board,
+  from: string,
+  msg: MessageOf<'wantMembers'>,
+): Effect[] {
+  const wanted = new Set(msg.buckets);
+  const records = [board.self];
+  for (const {record} of board.members.byId.values()) records.push(record);
+  return sendChunks(
+    from,
+    records.filter(record => wanted.has(bucketOf(record.id))),
+  );
+}
+
+/** Compares bucket hashes and asks for buckets that keep differing. */
+export function handleBeatMembers(
+  board: Board,
+  from: string,
+  msg: MessageOf<'beat'>,
+  now: number,
+): Effect[] {
+  const table = board.members;
+  const member = table.byId.get(from);
+  if (member) member.heardAt = now;
+  if (msg.echo !== undefined && msg.echo === table.ask) endStale(board, now);
+  const own = computeBuckets(board);
+  const differing = own.flatMap((hash, i) =>
+    hash === msg.buckets[i] ? [] : i,
+  );
+  const exchange = table.exchanges.get(from);
+  const before = exchange?.differing ?? [];
+  const askedAt = exchange?.askedAt ?? -Infinity;
+  // A change in flight makes buckets differ for a moment; only a difference
+  // that lasts for two beats is worth the bytes, except for a new daemon.
+  const wanted = table.askedAll
+    ? differing.filter(i => before.includes(i))
+    : differing;
+  const asks = wanted.length > 0 && now - askedAt >= EXCHANGE_MS;
+  table.exchanges.set(from, {askedAt: asks ? now : askedAt, differing});
+  if (!asks) return [];
+  table.askedAll = true;
+  count(board, 'member_exchanges');
+  return [{kind: 'send', to: from, msg: {t: 'wantMembers', buckets: wanted}}];
+}
+
+/** Notes a new link; direct contact shows that the peer lives. */
+export function noteLinkUp(
+  board: Board,
+  record: MemberRecord,
+  now: number,
+): Effect[] {
+  const table = board.members;
+  table.exchanges.delete(record.id);
+  const known = table.byId.get(record.id);
+  const isOlder = known && compareRecords(record, known.record) < 0;
+  if (isOlder) {
+    markHeard(known, now);
+    // The peer raises its incarnation when it learns what is known of it.
+    return [sendRecords(record.id, [known.record])];
+  }
+  const isSame = known && compareRecords(record, known.record) === 0;
+  const member = isSame ? known : changeRecord(board, record, now, record.id);
+  markHeard(member, now);
+  return [];
+}
+
+function markHeard(member: Member, now: number): void {
+  member.heardAt = now;
+  member.probe = false;
+  member.dialFailures = 0;
+  member.nextDialAt = 0;
+}
+
+/** Notes a lost link or, when there was none, a failed dial. */
+export function noteLinkDown(
+  board: Board,
+  peer: string,
+  now: number,
+  reason = '',
+): Effect[] {
+  board.members.exchanges.delete(peer);
+  const member = board.members.byId.get(peer);
+  if (member === undefined || HARMLESS_CLOSES.has(reason)) return [];
+  const {record} = member;
+  if (record.state === 'leaving') {
+    // A leaving daemon closes its links last.
+    changeRecord(board, {...record, state: 'gone'}, now);
+  } else if (reason === 'dial-failed' || reason === 'silent') {
+    member.probe = false;
+    if (record.state === 'live') {
+      changeRecord(board, {...record, state: 'suspect'}, now);
+    }
+  } else {
+    member.probe = true;
+  }
+  return [];
+}
+
+/** Announces on all links, at once, that this daemon is leaving. */
+export function announceLeaving(board: Board, now: number): Effect[] {
+  board.self = {...board.self, state: 'leaving'};
+  announceSelf(board, board.self.incarnation + 1);
+  const detail = {member: board.self.id, state: 'leaving'};
+  recordEvent(board.timeline, 'memberChanged', detail, now);
+  return flushPending(board);
 }
 
-/** Member table of one daemon, by id; excludes the daemon itself. */
-export interface MemberTable {
-  readonly byId: Map<string, Member>;
+/** Times out suspects, forgets gone members, reads the list, sends changes. */
+export function tickMembership(board: Board, now: number): Effect[] {
+  const table = board.members;
+  tickStaleness(board, now);
+  for (const member of [...table.byId.values()]) tickMember(board, member, now);
+  const effects = flushPending(board);
+  if (now >= table.nextListAt) {
+    // Set anew by the reply; this is the time to the next try without one.
+    table.nextListAt = now + LIST_RETRY_MS * (0.5 + board.random());
+    effects.push({kind: 'readList'});
+  }
+  return effects;
 }
 
-/** Creates an empty member table. */
-export function createMemberTable(): MemberTable {
-  return {byId: new Map()};
+function tickMember(board: Board, member: Member, now: number): void {
+  const {record, changedAt, listed} = member;
+  const age = now - changedAt;
+  if (record.state === 'suspect' && age >= SUSPECT_MS) {
+    if (isHeard(board, record.id, now)) return;
+    changeRecord(board, {...record, state: 'gone'}, now);
+    member.nextDialAt = 0;
+  } else if (record.state === 'gone' && !listed && age >= GONE_KEEP_MS) {
+    if (board.members.listSeen) forgetMember(board.members, record.id);
+  }
 }
--- /dev/null
+++ b/src/core/staleness.ts
@@ -0,0 +1,54 @@
+import {count, type Board} from './blackboard.js';
+import {recordEvent} from './timeline.js';
+
+/** Gap between two ticks that makes the view stale, ms. */
+export const PAUSE_MS = 1_500;
+
+/** Time without any link after which a stale view counts as fresh, ms. */
+export const ALONE_FRESH_MS = 1_000;
+
+/**
+ * Notes whether this process was paused since its last tick. Call it before
+ * acting on the view, because messages and requests that waited during a pause
+ * may be handled before the next tick. Returns true while the view is stale.
+ */
+export function checkPause(board: Board, now: number): boolean {
+  const {members} = board;
+  const gap = now - (members.lastTickAt ?? now);
+  if (gap <= PAUSE_MS) return board.viewStale;
+  members.lastTickAt = now;
+  members.staleSince = now;
+  members.ask = Math.floor(board.random() * 2 ** 31);
+  members.askDue = true;
+  board.viewStale = true;
+  // Silence during the pause was our own and says nothing about the peers.
+  for (const link of board.links.values()) link.heardAt = now;
+  for (const member of members.byId.values()) member.changedAt += gap;
+  count(board, 'pauses');
+  recordEvent(board.timeline, 'viewStale', {gapMs: Math.round(gap)}, now);
+  return true;
+}
+
+/** Ends a stale view once a peer has answered, or when there is no peer. */
+export function endStale(board: Board, now: number): void {
+  const {members} = board;
+  if (!board.viewStale) return;
+  board.viewStale = false;
+  const staleMs = Math.round(now - (members.staleSince ?? now));
+  members.staleSince = undefined;
+  members.ask = undefined;
+  recordEvent(board.timeline, 'viewFresh', {staleMs}, now);
+}
+
+/** Checks for a pause and for the lack of any peer to ask. */
+export function tickStaleness(board: Board, now: number): void {
+  const {members} = board;
+  checkPause(board, now);
+  members.lastTickAt = now;
+  if (members.staleSince === undefined) return;
+  // The wait starts anew while links exist: their closing shows the lack.
+  if (board.links.size > 0) members.aloneSince = undefined;
+  else members.aloneSince ??= now;
+  const alone = now - (members.aloneSince ?? now);
+  if (alone >= ALONE_FRESH_MS) endStale(board, now);
+}
--- a/src/types/messages.ts
+++ b/src/types/messages.ts
@@ -68,6 +68,10 @@
     buckets: z.array(z.int().min(0)).length(MEMBER_BUCKETS),
     /** False while the sender is still learning or unconfirmed. */
     confirmed: z.boolean(),
+    /** Nonce of a resumed daemon that needs an answer at once. */
+    ask: z.int().min(0).optional(),
+    /** The nonce of the beat that this one answers. */
+    echo: z.int().min(0).optional(),
   }),
   entries: z.strictObject({
     t: z.literal('entries'),
