--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -43,7 +43,7 @@
 }
 
 function link(b: Board, peer: string, now = 0): void {
-  b.links.set(peer, {peer, dialled: true, heardAt: now});
+  b.links.set(peer, {peer, dialled: true, upAt: now, heardAt: now});
 }
 
 function tell(b: Board, records: MemberRecord[], now = 0, from = 'peer') {
--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -1,7 +1,8 @@
-import type {MemberRecord, PeerMessage} from '../types/messages.js';
+import type {MemberRecord, MessageOf, PeerMessage} from '../types/messages.js';
 import type {Random} from '../utils/random.js';
 import {createConfigState, type ConfigState} from './config.js';
 import {createMemberTable, type MemberTable} from './members.js';
+import {createOverlayState, type OverlayState} from './overlayState.js';
 import {createReaderState, type ReaderState} from './reader.js';
 import {createRelayState, type RelayState} from './relay.js';
 import {createTimeline, type Timeline} from './timeline.js';
@@ -22,6 +23,8 @@
   readonly peer: string;
   /** True when this daemon dialled. */
   readonly dialled: boolean;
+  /** Monotonic time at which the link came up, ms. */
+  readonly upAt: number;
   /** Monotonic time of the newest message, ms. */
   heardAt: number;
   /** Newest beat of the peer. */
@@ -36,6 +39,16 @@
   readonly reader: ReaderState;
   readonly relay: RelayState;
   readonly members: MemberTable;
+  readonly overlay: OverlayState;
+  /** Monotonic time of the next beat, ms. */
+  nextBeatAt: number;
+  /** Handles reports of crashed upstreams; set by the daemon. */
+  onCrash?: (
+    board: Board,
+    from: string,
+    msg: MessageOf<'crash'>,
+    now: number,
+  ) => Effect[];
   readonly links: Map<string, Link>;
   readonly timeline: Timeline;
   /** Counters by metric name; counters come before log lines. */
@@ -59,6 +72,8 @@
     reader: createReaderState(),
     relay: createRelayState(),
     members: createMemberTable(),
+    overlay: createOverlayState(),
+    nextBeatAt: now,
     links: new Map(),
     timeline: createTimeline(self.id, self.incarnation),
     counters: new Map(),
--- /dev/null
+++ b/src/core/control.ts
@@ -0,0 +1,191 @@
+import type {
+  MemberRecord,
+  MessageName,
+  MessageOf,
+  PeerMessage,
+} from '../types/messages.js';
+import {tickHlc} from '../utils/hlc.js';
+import {count, type Board, type Effect, type Link} from './blackboard.js';
+import {updateInForce} from './config.js';
+import {
+  BEAT_MS,
+  computeBuckets,
+  handleBeatMembers,
+  handleMembers,
+  handleWantMembers,
+  isHeard,
+  noteLinkDown,
+  noteLinkUp,
+  tickMembership,
+} from './membership.js';
+import {isFull, noteDialEnd, sweepOverlay, tickOverlay} from './overlay.js';
+import {computeSourceAge, tickReader} from './reader.js';
+import {
+  handleBeatConfig,
+  handleBusy,
+  handleCheckpoint,
+  handleEntries,
+  handleWant,
+  tickRelay,
+} from './relay.js';
+import {checkPause} from './staleness.js';
+import {observeHlc, recordEvent} from './timeline.js';
+
+type Handler<N extends MessageName> = (
+  board: Board,
+  from: string,
+  msg: MessageOf<N>,
+  now: number,
+) => Effect[];
+
+const HANDLERS: {readonly [N in MessageName]: Handler<N>} = {
+  beat: handleBeat,
+  entries: handleEntries,
+  want: handleWant,
+  checkpoint: handleCheckpoint,
+  busy: handleBusy,
+  members: handleMembers,
+  wantMembers: handleWantMembers,
+  crash: (board, from, msg, now) =>
+    board.onCrash?.(board, from, msg, now) ?? [],
+};
+
+/** Handles a message of an established link. */
+export function handleMessage(
+  board: Board,
+  from: string,
+  msg: PeerMessage,
+  now: number,
+): Effect[] {
+  const link = board.links.get(from);
+  if (link === undefined) return [];
+  checkPause(board, now);
+  link.heardAt = now;
+  count(board, `received-${msg.t}`);
+  const handler = HANDLERS[msg.t] as Handler<MessageName>;
+  return handler(board, from, msg, now);
+}
+
+function handleBeat(
+  board: Board,
+  from: string,
+  msg: MessageOf<'beat'>,
+  now: number,
+): Effect[] {
+  const link = board.links.get(from);
+  if (link) link.beat = msg;
+  observeHlc(board.timeline, msg.hlc);
+  const effects: Effect[] = [];
+  if (msg.ask !== undefined) {
+    const echo = {...createBeat(board, now), echo: msg.ask};
+    effects.push({kind: 'send', to: from, msg: echo});
+  }
+  effects.push(...handleBeatMembers(board, from, msg, now));
+  effects.push(...handleBeatConfig(board, from, msg, now));
+  return effects;
+}
+
+/** Runs every controller once; called each `TICK_MS`. */
+export function handleTick(board: Board, now: number): Effect[] {
+  const effects = tickMembership(board, now);
+  effects.push(...closeSilentLinks(board, now));
+  effects.push(...tickOverlay(board, now));
+  sweepOverlay(board.overlay, now);
+  effects.push(...tickReader(board, now));
+  effects.push(...tickRelay(board, now));
+  updateInForce(board, now);
+  effects.push(...tickBeats(board, now));
+  return effects;
+}
+
+function closeSilentLinks(board: Board, now: number): Effect[] {
+  const effects: Effect[] = [];
+  for (const {peer} of board.links.values()) {
+    if (isHeard(board, peer, now)) continue;
+    effects.push({kind: 'close', to: peer, reason: 'silent'});
+  }
+  return effects;
+}
+
+function tickBeats(board: Board, now: number): Effect[] {
+  const {members, links} = board;
+  if (now < board.nextBeatAt && !members.askDue) return [];
+  if (now >= board.nextBeatAt) {
+    // Ticks quantise the interval; a fixed step keeps the mean at BEAT_MS.
+    const next = board.nextBeatAt + BEAT_MS;
+    board.nextBeatAt = next > now ? next : now + BEAT_MS;
+  }
+  const beat = createBeat(board, now);
+  members.askDue = false;
+  const effects: Effect[] = [];
+  for (const to of links.keys()) effects.push({kind: 'send', to, msg: beat});
+  return effects;
+}
+
+/** Builds the heartbeat of this moment. */
+export function createBeat(board: Board, now: number): MessageOf<'beat'> {
+  const {config, timeline, members} = board;
+  timeline.hlc = tickHlc(timeline.hlc, Date.now());
+  return {
+    t: 'beat',
+    hlc: timeline.hlc,
+    index: config.index,
+    version: config.current?.version ?? 0,
+    digest: config.current?.digest ?? '',
+    sourceAgeMs: Math.round(computeSourceAge(board, now)),
+    buckets: computeBuckets(board),
+    confirmed: config.confirmed,
+    ...(members.ask !== undefined && {ask: members.ask}),
+  };
+}
+
+/** Notes an established link, or closes it when there are too many. */
+export function handleLinkUp(
+  board: Board,
+  record: MemberRecord,
+  dialled: boolean,
+  now: number,
+): Effect[] {
+  const peer = record.id;
+  const known = board.links.has(peer);
+  if (!dialled && !known && isFull(board)) {
+    count(board, 'linksRefusedFull');
+    return [{kind: 'close', to: peer, reason: 'full'}];
+  }
+  checkPause(board, now);
+  board.overlay.dials.delete(peer);
+  const link: Link = {peer, dialled, upAt: now, heardAt: now};
+  board.links.set(peer, link);
+  recordEvent(board.timeline, 'linkUp', {peer, dialled}, now);
+  const effects = noteLinkUp(board, record, now);
+  // Without this first beat a new link would learn nothing for up to BEAT_MS.
+  effects.push({kind: 'send', to: peer, msg: createBeat(board, now)});
+  return effects;
+}
+
+/** Close reasons of the other side that are taken over; see `noteLinkDown`. */
+const REMOTE_REASONS = new Set(['full', 'surplus', 'leaving']);
+
+/** Reason to report for a link that the other side closed. */
+export function readRemoteReason(reason: string): string {
+  return REMOTE_REASONS.has(reason) ? reason : 'closed';
+}
+
+/** Notes a closed link or a failed dial (`reason` is then `dial-failed`). */
+export function handleLinkDown(
+  board: Board,
+  peer: string,
+  reason: string,
+  now: number,
+): Effect[] {
+  const link = board.links.get(peer);
+  // The end of a link that was refused here concerns nobody.
+  if (link === undefined && !board.overlay.dials.has(peer)) return [];
+  checkPause(board, now);
+  board.links.delete(peer);
+  board.relay.transfers.delete(peer);
+  count(board, `linkDown-${reason}`);
+  if (link) recordEvent(board.timeline, 'linkDown', {peer, reason}, now);
+  if (link === undefined || link.dialled) noteDialEnd(board, peer, reason, now);
+  return noteLinkDown(board, peer, now, reason);
+}
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -44,6 +44,9 @@
 /** Mean time to the next list read after one without a reply, ms. */
 const LIST_RETRY_MS = 2_000;
 
+/** Largest delay of the dial that checks on a peer whose link broke, ms. */
+const PROBE_SPREAD_MS = 500;
+
 /** Reasons for a closed link that say nothing against the peer. */
 const HARMLESS_CLOSES = new Set(['full', 'surplus', 'duplicate', 'leaving']);
 
@@ -156,7 +159,7 @@
     }
   }
   announceSelf(board, record.incarnation + 1);
-  count(board, 'member_refutations');
+  count(board, 'memberRefutations');
 }
 
 /** Sends the records of the buckets that a peer asks for. */
@@ -201,7 +204,7 @@
   table.exchanges.set(from, {askedAt: asks ? now : askedAt, differing});
   if (!asks) return [];
   table.askedAll = true;
-  count(board, 'member_exchanges');
+  count(board, 'memberExchanges');
   return [{kind: 'send', to: from, msg: {t: 'wantMembers', buckets: wanted}}];
 }
 
@@ -242,7 +245,11 @@
 ): Effect[] {
   board.members.exchanges.delete(peer);
   const member = board.members.byId.get(peer);
-  if (member === undefined || HARMLESS_CLOSES.has(reason)) return [];
+  if (member === undefined) return [];
+  if (HARMLESS_CLOSES.has(reason)) {
+    member.probe = false;
+    return [];
+  }
   const {record} = member;
   if (record.state === 'leaving') {
     // A leaving daemon closes its links last.
@@ -254,6 +261,8 @@
     }
   } else {
     member.probe = true;
+    // Neighbours of a failed daemon should not all dial it at the same time.
+    member.nextDialAt = now + board.random() * PROBE_SPREAD_MS;
   }
   return [];
 }
--- /dev/null
+++ b/src/core/overlay.ts
@@ -0,0 +1,303 @@
+import {computeBackoff} from '../utils/backoff.js';
+import {weighRendezvous} from '../utils/hash.js';
+import {count, type Board, type Effect} from './blackboard.js';
+import type {Member} from './members.js';
+import type {OverlayState} from './overlayState.js';
+
+/** Peers dialled in the own data centre. */
+export const OWN_PEERS = 3;
+
+/** Peers dialled in other data centres, more when the own one is small. */
+export const OTHER_PEERS = 1;
+
+/** Links accepted from others; four are expected on average. */
+export const MAX_ACCEPTED = 12;
+
+/** Dials started in one tick. */
+export const DIALS_PER_TICK = 2;
+
+/** Dials under way at a time. */
+export const MAX_DIALS = 4;
+
+/** Time after which a dial without a result counts as failed, ms. */
+export const DIAL_TIMEOUT_MS = 5_000;
+
+/** Members per data centre that redial one gone member or data centre. */
+export const REDIALLERS = 2;
+
+/** Least time between redials of a gone member, ms; at most twice that. */
+export const REDIAL_MS = 10_000;
+
+/** Least time between redials of a lost data centre, ms; at most twice that. */
+export const LOST_REDIAL_MS = 1_000;
+
+/** Silence after which a live member that is not listed is dialled, ms. */
+export const UNLISTED_PROBE_MS = 60_000;
+
+/** Mean time for which a peer that accepts no more links is left alone, ms. */
+export const FULL_RETRY_MS = 30_000;
+
+/** Age from which a link that is no longer needed may be closed, ms. */
+export const SURPLUS_AGE_MS = 30_000;
+
+/** Least time between two closed surplus links, ms. */
+export const SURPLUS_EVERY_MS = 5_000;
+
+const DIAL_BACKOFF_MS = 500;
+const DIAL_BACKOFF_CAP_MS = 10_000;
+const ISOLATED_BACKOFF_MS = 200;
+const ISOLATED_BACKOFF_CAP_MS = 2_000;
+
+/** Picks peers to dial and links to close. */
+export function tickOverlay(board: Board, now: number): Effect[] {
+  if (board.self.state !== 'live') return [];
+  const {dials} = board.overlay;
+  for (const [id, startedAt] of dials) {
+    if (now - startedAt >= DIAL_TIMEOUT_MS) dials.delete(id);
+  }
+  const targets = chooseTargets(board, now);
+  const wanted = [
+    ...targets,
+    ...findProbes(board, now),
+    ...findIsolatedDials(board, targets, now),
+    ...findRedials(board, now),
+  ];
+  const effects = startDials(board, wanted, now);
+  return [...effects, ...closeSurplus(board, targets, now)];
+}
+
+function startDials(board: Board, wanted: Member[], now: number): Effect[] {
+  const {dials} = board.overlay;
+  const effects: Effect[] = [];
+  for (const member of wanted) {
+    const {id} = member.record;
+    if (board.links.has(id) || dials.has(id)) continue;
+    if (effects.length >= DIALS_PER_TICK || dials.size >= MAX_DIALS) break;
+    dials.set(id, now);
+    count(board, 'dials');
+    effects.push({kind: 'dial', to: member.record});
+  }
+  return effects;
+}
+
+/** Picks the live members that this daemon keeps a link to. */
+export function chooseTargets(board: Board, now: number): Member[] {
+  const own: Member[] = [];
+  const other: Member[] = [];
+  const slots = OWN_PEERS + OTHER_PEERS;
+  for (const member of board.members.byId.values()) {
+    if (!isEligible(board, member, now)) continue;
+    const isOwn = member.record.dataCentre === board.self.dataCentre;
+    insertHeaviest(board, isOwn ? own : other, member, slots);
+  }
+  own.length = Math.min(own.length, OWN_PEERS);
+  return [...own, ...other.slice(0, slots - own.length)];
+}
+
+function isEligible(board: Board, member: Member, now: number): boolean {
+  const {id, state} = member.record;
+  if (state !== 'live') return false;
+  if (board.links.has(id)) return true;
+  const refusedUntil = board.overlay.refusedUntil.get(id) ?? 0;
+  return member.nextDialAt <= now && refusedUntil <= now;
+}
+
+/** Inserts into a short list ordered by weight, heaviest first. */
+function insertHeaviest(
+  board: Board,
+  list: Member[],
+  member: Member,
+  limit: number,
+): void {
+  const weight = weigh(board, member.record.id);
+  let at = list.length;
+  while (at > 0 && weigh(board, list[at - 1].record.id) < weight) at--;
+  if (at >= limit) return;
+  list.splice(at, 0, member);
+  if (list.length > limit) list.pop();
+}
+
+/** Cached, because the weight of a pair of ids never changes. */
+function weigh(board: Board, id: string): number {
+  const {weights} = board.overlay;
+  let weight = weights.get(id);
+  if (weight === undefined) {
+    if (weights.size > 2 * board.members.byId.size + 64) weights.clear();
+    weight = weighRendezvous(board.self.id, id);
+    weights.set(id, weight);
+  }
+  return weight;
+}
+
+/** Members whose link broke: a dial shows whether they live. */
+function findProbes(board: Board, now: number): Member[] {
+  return [...board.members.byId.values()].filter(
+    member => member.probe && member.nextDialAt <= now,
+  );
+}
+
+/**
+ * A daemon without any live peer in its own or in other data centres tries the
+ * members it believes dead, at random.
+ */
+function findIsolatedDials(
+  board: Board,
+  targets: readonly Member[],
+  now: number,
+): Member[] {
+  const {overlay, self, random} = board;
+  const lost: Member[] = [];
+  for (const isOwn of [true, false]) {
+    const isSide = (member: Member): boolean =>
+      (member.record.dataCentre === self.dataCentre) === isOwn;
+    if (targets.some(isSide)) continue;
+    const side = [...board.members.byId.values()].filter(
+      member => isSide(member) && member.record.state !== 'leaving',
+    );
+    const picked = pick(side, random);
+    if (picked) lost.push(picked);
+  }
+  if (lost.length === 0) overlay.isolatedTries = 0;
+  if (lost.length === 0 || now < overlay.nextIsolatedAt) return [];
+  const wait = computeBackoff(
+    overlay.isolatedTries++,
+    ISOLATED_BACKOFF_MS,
+    ISOLATED_BACKOFF_CAP_MS,
+    random,
+  );
+  overlay.nextIsolatedAt = now + wait;
+  return lost;
+}
+
+function pick<T>(items: readonly T[], random: () => number): T | undefined {
+  return items[Math.floor(random() * items.length)];
+}
+
+/**
+ * Gone members and lost data centres that this daemon redials. Two members per
+ * data centre redial each, so that a large loss does not cause many dials.
+ */
+function findRedials(board: Board, now: number): Member[] {
+  const due: Member[] = [];
+  const lost = new Map<string, Member[] | undefined>();
+  for (const member of board.members.byId.values()) {
+    const {dataCentre, state} = member.record;
+    if (state === 'live') lost.set(dataCentre, undefined);
+    else if (!lost.has(dataCentre)) lost.set(dataCentre, [member]);
+    else lost.get(dataCentre)?.push(member);
+    if (isRedialDue(board, member, now)) due.push(member);
+  }
+  for (const [dataCentre, members] of lost) {
+    if (members === undefined || dataCentre === board.self.dataCentre) continue;
+    const member = pickLost(board, dataCentre, members, now);
+    if (member) due.unshift(member);
+  }
+  return due;
+}
+
+function isRedialDue(board: Board, member: Member, now: number): boolean {
+  if (board.links.has(member.record.id)) return false;
+  const {state, id, incarnation} = member.record;
+  const unknown =
+    state === 'live' &&
+    board.members.listSeen &&
+    !member.listed &&
+    incarnation > 0 &&
+    now - member.heardAt >= UNLISTED_PROBE_MS;
+  if (state !== 'gone' && !unknown) return false;
+  const first = member.nextDialAt === 0 && state === 'gone';
+  if (!first && member.nextDialAt > now) return false;
+  const wait = unknown ? UNLISTED_PROBE_MS : REDIAL_MS;
+  member.nextDialAt = now + wait * (1 + board.random());
+  return !first && isRedialler(board, id);
+}
+
+function pickLost(
+  board: Board,
+  dataCentre: string,
+  members: Member[],
+  now: number,
+): Member | undefined {
+  const {lostRedialAt} = board.overlay;
+  if (now < (lostRedialAt.get(dataCentre) ?? 0)) return undefined;
+  lostRedialAt.set(dataCentre, now + LOST_REDIAL_MS * (1 + board.random()));
+  const candidates = members.filter(m => m.record.state !== 'leaving');
+  if (!isRedialler(board, dataCentre)) return undefined;
+  return pick(candidates, board.random);
+}
+
+/** True for the first ranks among the live members of the data centre. */
+function isRedialler(board: Board, key: string): boolean {
+  const {self} = board;
+  const own = weighRendezvous(`redial/${key}`, self.id);
+  let heavier = 0;
+  for (const {record} of board.members.byId.values()) {
+    if (record.dataCentre !== self.dataCentre) continue;
+    if (record.state !== 'live') continue;
+    if (weighRendezvous(`redial/${key}`, record.id) <= own) continue;
+    if (++heavier >= REDIALLERS) return false;
+  }
+  return true;
+}
+
+/** Closes one old link that is no longer wanted, once all wanted ones exist. */
+function closeSurplus(
+  board: Board,
+  targets: readonly Member[],
+  now: number,
+): Effect[] {
+  const {overlay, links} = board;
+  if (now < overlay.nextTrimAt) return [];
+  const wanted = new Set(targets.map(member => member.record.id));
+  for (const id of wanted) if (!links.has(id)) return [];
+  for (const link of links.values()) {
+    if (!link.dialled || wanted.has(link.peer)) continue;
+    if (now - link.upAt < SURPLUS_AGE_MS) continue;
+    // The last links of a leaving daemon show when it has stopped.
+    const state = board.members.byId.get(link.peer)?.record.state;
+    if (state === 'leaving') continue;
+    overlay.nextTrimAt = now + SURPLUS_EVERY_MS;
+    return [{kind: 'close', to: link.peer, reason: 'surplus'}];
+  }
+  return [];
+}
+
+/** True when one more accepted link would exceed the bound. */
+export function isFull(board: Board): boolean {
+  let accepted = 0;
+  for (const link of board.links.values()) if (!link.dialled) accepted++;
+  return accepted >= MAX_ACCEPTED;
+}
+
+/** Notes the end of a dial or of a dialled link. */
+export function noteDialEnd(
+  board: Board,
+  peer: string,
+  reason: string,
+  now: number,
+): void {
+  const {overlay, members, random} = board;
+  overlay.dials.delete(peer);
+  if (reason === 'full') {
+    const until = now + FULL_RETRY_MS * (0.5 + random());
+    overlay.refusedUntil.set(peer, until);
+  }
+  const member = members.byId.get(peer);
+  if (member === undefined || reason !== 'dial-failed') return;
+  if (member.record.state === 'gone') return;
+  member.nextDialAt =
+    now +
+    computeBackoff(
+      member.dialFailures++,
+      DIAL_BACKOFF_MS,
+      DIAL_BACKOFF_CAP_MS,
+      random,
+    );
+}
+
+/** Drops state about peers that no longer matters. */
+export function sweepOverlay(overlay: OverlayState, now: number): void {
+  for (const [id, until] of overlay.refusedUntil) {
+    if (until <= now) overlay.refusedUntil.delete(id);
+  }
+}
