--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -1,21 +1,64 @@
-import fastJsonPatch from 'fast-json-patch';
 import {
-  documentSchema,
-  patchSchema,
-  snapshotSchema,
-  type Document,
+  entrySchema,
   type Entry,
   type Refusal,
   type Version,
 } from '../types/document.js';
-import {computeDigest} from '../utils/digest.js';
+import {MESSAGES} from '../types/messages.js';
+import {count, type Board} from './blackboard.js';
+import {recordEvent} from './timeline.js';
+import {
+  checkDocument,
+  createVersion,
+  judgeEntry,
+  measureJson,
+  type Checked,
+} from './versions.js';
 
 /** Entries kept to serve peers that are behind. */
 export const LOG_ENTRIES = 256;
 
+/** Size of the entries kept to serve peers that are behind, bytes of JSON. */
+export const LOG_BYTES = 262_144;
+
 /** Refused entries kept for operators. */
 export const REFUSALS_KEPT = 32;
 
+/** Time after the start in which a daemon waits for reports of peers, ms. */
+export const LEARN_WINDOW_MS = 3_000;
+
+/** Time after the start until a daemon serves without any report, ms. */
+export const LEARN_ALONE_MS = 5_000;
+
+/**
+ * Largest part of one gap between two calls that counts as time spent learning,
+ * ms. Peers cannot have answered a process that was paused.
+ */
+const LEARN_STEP_MS = 1_500;
+
+/** A point of the series: an index and the version accepted up to it. */
+export interface Position {
+  readonly index: number;
+  /** 0 when no version is accepted yet. */
+  readonly version: number;
+  /** Empty when no version is accepted yet. */
+  readonly digest: string;
+}
+
+/** What a daemon that has just started has heard from its peers. */
+export interface Learning {
+  /** Time spent learning, without pauses, ms. */
+  elapsedMs: number;
+  /** Monotonic time of the last update, ms. */
+  updatedAt?: number;
+  /** Highest version that any peer has reported, 0 for none. */
+  highest: number;
+  /** True when a confirmed peer of the own data centre has reported. */
+  own: boolean;
+  /** True when a confirmed peer of another data centre has reported. */
+  other: boolean;
+}
+
 /** Configuration state of one daemon: the fold over the series of entries. */
 export interface ConfigState {
   /** Newest accepted version. */
@@ -26,48 +69,34 @@
   index: number;
   /** Newest entries, oldest first. */
   log: Entry[];
+  /** Position before each entry of the log, and the entry's bytes of JSON. */
+  marks: (Position & {readonly bytes: number})[];
   refusals: Refusal[];
   /** False until a peer has confirmed the version in force. */
   confirmed: boolean;
+  readonly learning: Learning;
 }
 
 /** Creates the state of a daemon that knows no configuration. */
 export function createConfigState(): ConfigState {
-  return {index: 0, log: [], refusals: [], confirmed: false};
-}
-
-/** Result of a check: the value, or one line per fault. */
-export type Checked<T> = {ok: true; value: T} | {ok: false; faults: string[]};
-
-/** Checks a document: schema first, then the whole reference graph. */
-export function checkDocument(value: unknown): Checked<Document> {
-  const parsed = documentSchema.safeParse(value);
-  if (!parsed.success) {
-    const faults = parsed.error.issues.map(
-      issue => `${issue.path.join('.') || '(document)'}: ${issue.message}`,
-    );
-    return {ok: false, faults};
-  }
-  const faults = findDanglingReferences(parsed.data);
-  if (faults.length > 0) return {ok: false, faults};
-  return {ok: true, value: parsed.data};
+  return {
+    index: 0,
+    log: [],
+    marks: [],
+    refusals: [],
+    confirmed: false,
+    learning: {elapsedMs: 0, highest: 0, own: false, other: false},
+  };
 }
 
-function findDanglingReferences(document: Document): string[] {
-  const faults: string[] = [];
-  for (const [name, route] of Object.entries(document.routes)) {
-    if (!Object.hasOwn(document.services, route.service)) {
-      faults.push(`routes.${name}.service: no service ${route.service}`);
-    }
-  }
-  for (const [name, service] of Object.entries(document.services)) {
-    for (const dataCentre of service.dataCentres) {
-      if (!Object.hasOwn(document.dataCentres, dataCentre)) {
-        faults.push(`services.${name}.dataCentres: no ${dataCentre}`);
-      }
-    }
-  }
-  return faults;
+/** Point of the series that the state has reached. */
+export function getPosition(state: ConfigState): Position {
+  const {current, index} = state;
+  return {
+    index,
+    version: current?.version ?? 0,
+    digest: current?.digest ?? '',
+  };
 }
 
 /** Outcome of folding entries. */
@@ -78,119 +107,218 @@
   stale: number;
   /** True when an entry does not continue ours; the rest was not folded. */
   gap: boolean;
+  /** True when something is no entry; the rest was not folded. */
+  malformed: boolean;
+}
+
+/** Options of the fold. */
+export interface FoldOptions {
+  /**
+   * True for entries read from the platform after our index. The platform may
+   * have removed entries before a snapshot, so that snapshot may follow a gap.
+   * In entries from a peer a gap means loss, and a snapshot after it could be
+   * one that the whole series refuses.
+   */
+  readonly fromSource?: boolean;
 }
 
 /** Folds entries in index order; acceptance depends only on the series. */
 export function applyEntries(
   state: ConfigState,
   entries: readonly Entry[],
+  {fromSource = false}: FoldOptions = {},
 ): FoldResult {
-  const result: FoldResult = {accepted: [], refused: [], stale: 0, gap: false};
-  for (const entry of entries) {
+  const result: FoldResult = {
+    accepted: [],
+    refused: [],
+    stale: 0,
+    gap: false,
+    malformed: false,
+  };
+  const list: readonly unknown[] = Array.isArray(entries) ? entries : [null];
+  for (const [i, item] of list.entries()) {
+    const entry = readEntry(item);
+    if (!entry) {
+      result.malformed = true;
+      break;
+    }
     if (entry.index <= state.index) {
       result.stale++;
       continue;
     }
-    if (entry.prev !== state.index) {
+    if (!foldEntry(state, entry, result, fromSource && i === 0)) {
       result.gap = true;
       break;
     }
-    foldEntry(state, entry, result);
   }
   return result;
 }
 
-function foldEntry(state: ConfigState, entry: Entry, result: FoldResult): void {
+function readEntry(item: unknown): Entry | undefined {
+  const parsed = entrySchema.safeParse(item);
+  return parsed.success ? parsed.data : undefined;
+}
+
+/** Folds one entry; false when it does not continue the series. */
+function foldEntry(
+  state: ConfigState,
+  entry: Entry,
+  result: FoldResult,
+  mayFollowGap: boolean,
+): boolean {
+  const continues = entry.prev === state.index;
+  const jumps =
+    mayFollowGap && entry.kind === 'snapshot' && entry.prev > state.index;
+  if (!continues && !jumps) return false;
   const judged = judgeEntry(state.current, entry);
-  state.index = entry.index;
-  state.log.push(entry);
-  if (state.log.length > LOG_ENTRIES) state.log.shift();
+  if (!continues && !judged.ok) return false;
+  if (!continues) clearLog(state);
+  keepEntry(state, entry);
   if (judged.ok) {
-    if (judged.value === state.current) return;
+    if (judged.value === state.current) return true;
     state.current = judged.value;
     result.accepted.push(judged.value);
-    return;
+    return true;
   }
-  const refusal = describeRefusal(entry, judged.faults);
+  const refusal = describeRefusal(entry, judged);
   state.refusals.push(refusal);
   if (state.refusals.length > REFUSALS_KEPT) state.refusals.shift();
   result.refused.push(refusal);
+  return true;
 }
 
-function describeRefusal(entry: Entry, faults: string[]): Refusal {
+/** Moves past an entry and keeps it for peers while it fits the log. */
+function keepEntry(state: ConfigState, entry: Entry): void {
+  const size = measureJson(entry.value);
+  const position = {...getPosition(state), index: entry.prev};
+  state.index = entry.index;
+  if (!size.ok || size.value > LOG_BYTES) {
+    clearLog(state);
+    return;
+  }
+  state.log.push(entry);
+  state.marks.push({...position, bytes: size.value});
+  let total = state.marks.reduce((sum, {bytes}) => sum + bytes, 0);
+  while (state.log.length > LOG_ENTRIES || total > LOG_BYTES) {
+    total -= state.marks[0].bytes;
+    state.log.shift();
+    state.marks.shift();
+  }
+}
+
+function clearLog(state: ConfigState): void {
+  state.log = [];
+  state.marks = [];
+}
+
+function describeRefusal(
+  entry: Entry,
+  judged: Checked<Version> & {ok: false},
+): Refusal {
   const value = (entry.value ?? {}) as {author?: unknown; base?: unknown};
+  // Refusals travel in checkpoints, so every field has a bound.
   return {
     index: entry.index,
-    author: typeof value.author === 'string' ? value.author : '',
-    base: Number.isInteger(value.base) ? (value.base as number) : 0,
-    reason: faults.join('; ').slice(0, 500),
+    author: typeof value.author === 'string' ? value.author.slice(0, 100) : '',
+    base: Number.isSafeInteger(value.base) ? (value.base as number) : 0,
+    reason: judged.faults.join('; ').slice(0, 500),
   };
 }
 
-function judgeEntry(
-  current: Version | undefined,
-  entry: Entry,
-): Checked<Version> {
-  if (entry.kind === 'snapshot') return judgeSnapshot(current, entry);
-  if (entry.kind === 'patch') return judgePatch(current, entry);
-  return {ok: false, faults: [`unknown kind ${entry.kind}`]};
+/**
+ * Entries that continue a position; empty at our own position, undefined when
+ * the log does not reach back to it or the position is on another line.
+ */
+export function findEntriesAfter(
+  state: ConfigState,
+  position: Position,
+): Entry[] | undefined {
+  if (isSamePosition(getPosition(state), position)) return [];
+  const at = state.marks.findIndex(mark => isSamePosition(mark, position));
+  return at < 0 ? undefined : state.log.slice(at);
 }
 
-function judgeSnapshot(
-  current: Version | undefined,
-  entry: Entry,
-): Checked<Version> {
-  const parsed = snapshotSchema.safeParse(entry.value);
-  if (!parsed.success) {
-    return {ok: false, faults: parsed.error.issues.map(i => i.message)};
-  }
-  const {version, digest} = parsed.data;
-  if (current && version === current.version && digest === current.digest) {
-    return {ok: true, value: current};
-  }
-  if (current && version <= current.version) {
-    return {ok: false, faults: [`version ${version} is not above ours`]};
-  }
-  const checked = checkDocument(parsed.data.document);
-  if (!checked.ok) return checked;
-  if (computeDigest(checked.value) !== digest) {
-    return {ok: false, faults: ['digest does not match the document']};
-  }
-  const {index} = entry;
-  return {ok: true, value: {version, digest, index, document: checked.value}};
+function isSamePosition(a: Position, b: Position): boolean {
+  return (
+    a.index === b.index && a.version === b.version && a.digest === b.digest
+  );
 }
 
-function judgePatch(
-  current: Version | undefined,
-  entry: Entry,
-): Checked<Version> {
-  const parsed = patchSchema.safeParse(entry.value);
-  if (!parsed.success) {
-    return {ok: false, faults: parsed.error.issues.map(i => i.message)};
-  }
-  const {base, baseDigest, ops} = parsed.data;
-  if (!current || base !== current.version) {
-    const ours = current?.version ?? 0;
-    return {ok: false, faults: [`base ${base} is not version ${ours}`]};
-  }
-  if (baseDigest !== current.digest) {
-    return {ok: false, faults: ['base digest differs']};
+/** Outcome of a checkpoint. */
+export type CheckpointOutcome =
+  'applied' | 'same' | 'older' | 'conflict' | 'invalid';
+
+/**
+ * Replaces the state by a checkpoint if that is a move forward: to a higher
+ * version, or to a higher index of the same version. A higher version may come
+ * with a lower index when the platform has returned to an old copy.
+ */
+export function applyCheckpoint(
+  state: ConfigState,
+  msg: unknown,
+): CheckpointOutcome {
+  const parsed = MESSAGES.checkpoint.safeParse(msg);
+  if (!parsed.success) return 'invalid';
+  const {index, version, digest, document, refusals} = parsed.data;
+  const ours = getPosition(state);
+  if (version < ours.version) return 'older';
+  if (version === ours.version) {
+    if (digest !== ours.digest) return 'conflict';
+    if (index <= ours.index) return 'same';
+  } else {
+    const checked = checkDocument(document);
+    if (!checked.ok) return 'invalid';
+    const next = createVersion(version, index, checked.value);
+    if (next.digest !== digest) return 'invalid';
+    state.current = next;
   }
-  try {
-    const patched = fastJsonPatch.applyPatch(
-      current.document,
-      ops as unknown as fastJsonPatch.Operation[],
-      true,
-      false,
-    ).newDocument;
-    const checked = checkDocument(patched);
-    if (!checked.ok) return checked;
-    const document = checked.value;
-    const digest = computeDigest(document);
-    const version = base + 1;
-    return {ok: true, value: {version, digest, index: entry.index, document}};
-  } catch (err) {
-    const name = err instanceof Error ? err.name : 'error';
-    return {ok: false, faults: [`operations do not apply: ${name}`]};
+  state.index = index;
+  state.refusals = refusals.slice(-REFUSALS_KEPT);
+  clearLog(state);
+  return 'applied';
+}
+
+/**
+ * Puts the newest accepted version in force, once the daemon has learned what
+ * its peers hold. It is called on every tick and after every change.
+ */
+export function updateInForce(board: Board, now: number): void {
+  const {config} = board;
+  const {current, inForce} = config;
+  if (!config.confirmed) noteReports(board, now);
+  if (!current) return;
+  if (!inForce && !hasLearned(config)) return;
+  const reported = config.learning.highest;
+  if (reported > 0 && current.version >= reported) config.confirmed = true;
+  if (inForce && current.version <= inForce.version) return;
+  config.inForce = current;
+  count(board, 'config_versions_in_force');
+  const {version, digest, index} = current;
+  const detail = {version, digest, index, confirmed: config.confirmed};
+  recordEvent(board.timeline, 'versionInForce', detail, now);
+}
+
+function noteReports(board: Board, now: number): void {
+  const {learning} = board.config;
+  const gapMs = now - (learning.updatedAt ?? board.startedAt);
+  learning.elapsedMs += Math.min(Math.max(gapMs, 0), LEARN_STEP_MS);
+  learning.updatedAt = now;
+  for (const {peer, beat} of board.links.values()) {
+    if (!beat || beat.version === 0) continue;
+    learning.highest = Math.max(learning.highest, beat.version);
+    // A peer that is itself still learning reports what it happens to hold,
+    // so its report does not shorten the window.
+    if (!beat.confirmed) continue;
+    const record = board.members.byId.get(peer)?.record;
+    if (!record) continue;
+    if (record.dataCentre === board.self.dataCentre) learning.own = true;
+    else learning.other = true;
   }
 }
+
+function hasLearned(config: ConfigState): boolean {
+  const {highest, own, other, elapsedMs} = config.learning;
+  if (highest === 0) return elapsedMs >= LEARN_ALONE_MS;
+  if ((config.current?.version ?? 0) < highest) return false;
+  return (own && other) || elapsedMs >= LEARN_WINDOW_MS;
+}
--- /dev/null
+++ b/src/core/lines.ts
@@ -0,0 +1,61 @@
+import {count, type Board, type Link} from './blackboard.js';
+import {getPosition, type Position} from './config.js';
+import {recordEvent} from './timeline.js';
+
+/** True when a peer has a higher version, or a higher index and no lower one. */
+export function isAhead(board: Board, {beat, peer}: Link): boolean {
+  const ours = getPosition(board.config);
+  const index = board.relay.peerIndex.get(peer) ?? 0;
+  if (!beat) return index > ours.index;
+  if (isConflict(ours, beat)) return false;
+  if (beat.version > ours.version) return true;
+  // A lower version counts only if the peer has moved on since its beat.
+  if (beat.version < ours.version && index <= beat.index) return false;
+  return index > ours.index;
+}
+
+/** What tells lines of the series apart: a version and its content. */
+export type Line = Pick<Position, 'version' | 'digest'>;
+
+/** True for the same version with other content. */
+export function isConflict(ours: Line, theirs: Line): boolean {
+  return (
+    ours.version > 0 &&
+    ours.version === theirs.version &&
+    ours.digest !== theirs.digest
+  );
+}
+
+/**
+ * True when the newest beat shows other content at our version or at our index.
+ * Entries of one line are not folded or pushed on the other.
+ */
+export function isOnOtherLine(board: Board, {beat}: Link): boolean {
+  const ours = getPosition(board.config);
+  if (!beat || beat.version === 0 || ours.version === 0) return false;
+  if (isConflict(ours, beat)) return true;
+  return beat.index === ours.index && beat.digest !== ours.digest;
+}
+
+/** Counts and records that a peer holds other content of our version. */
+export function noteConflict(
+  board: Board,
+  from: string,
+  msg: Line,
+  now: number,
+): void {
+  const {version, digest} = msg;
+  const ours = getPosition(board.config).digest;
+  const key = `${version} ${ours} ${digest}`;
+  if (board.relay.conflicts.get(from) === key) return;
+  board.relay.conflicts.set(from, key);
+  count(board, 'config_conflicts');
+  const detail = {peer: from, version, ours, theirs: digest};
+  recordEvent(board.timeline, 'configConflict', detail, now);
+}
+
+/** True when our position is a move forward from theirs. */
+export function isNewer(ours: Position, theirs: Position): boolean {
+  if (ours.version !== theirs.version) return ours.version > theirs.version;
+  return ours.version > 0 && ours.index > theirs.index;
+}
--- /dev/null
+++ b/src/core/versions.ts
@@ -0,0 +1,340 @@
+import fastJsonPatch from 'fast-json-patch';
+import type {z} from 'zod';
+import {
+  documentSchema,
+  patchSchema,
+  snapshotSchema,
+  type Document,
+  type Entry,
+  type Patch,
+  type Version,
+} from '../types/document.js';
+import {BerylbendError} from '../types/errors.js';
+import {computeDigest} from '../utils/digest.js';
+
+/** Largest value of one entry, bytes of JSON; the platform's own limit. */
+export const MAX_VALUE_BYTES = 1_048_576;
+
+/**
+ * Largest document, bytes of JSON. Patches can grow a document beyond what one
+ * snapshot entry carries; this leaves room for the other fields of a snapshot.
+ */
+export const MAX_DOCUMENT_BYTES = 1_000_000;
+
+/**
+ * Deepest nesting of a value. Recursion would fail at a depth that depends on
+ * the stack in use, so that daemons could judge the same entry differently.
+ */
+const MAX_DEPTH = 32;
+
+/** Faults reported per check; a reason is cut at 500 characters anyway. */
+const MAX_FAULTS = 20;
+
+/**
+ * Keys that are refused in any value. msgpackr renames the first to the second
+ * in transit, so a reader and its peers would judge different values.
+ */
+const BANNED_KEYS: readonly string[] = ['__proto__', '__proto_'];
+
+/** Result of a check: the value, or one line per fault. */
+export type Checked<T> = {ok: true; value: T} | {ok: false; faults: string[]};
+
+function refuse(...faults: string[]): {ok: false; faults: string[]} {
+  return {ok: false, faults: faults.slice(0, MAX_FAULTS)};
+}
+
+/** Size of JSON data in bytes, or the fault that makes it no JSON data. */
+export function measureJson(value: unknown): Checked<number> {
+  const fault = findJsonFault(value);
+  if (fault !== undefined) return refuse(fault);
+  const text = JSON.stringify(value);
+  return {ok: true, value: Buffer.byteLength(text)};
+}
+
+function findJsonFault(root: unknown): string | undefined {
+  const stack: {value: unknown; depth: number}[] = [{value: root, depth: 0}];
+  let nodes = 0;
+  for (let item = stack.pop(); item; item = stack.pop()) {
+    const {value, depth} = item;
+    // Shared references make a small value large when it is written out.
+    if (++nodes > MAX_VALUE_BYTES) return 'value has too many parts';
+    if (depth > MAX_DEPTH) return `value is nested deeper than ${MAX_DEPTH}`;
+    if (typeof value === 'object' && value !== null) {
+      if (!isPlain(value)) return 'value is not JSON data';
+      for (const [key, field] of Object.entries(value)) {
+        if (BANNED_KEYS.includes(key)) return `key ${key} is not allowed`;
+        if (field === undefined) continue;
+        stack.push({value: field, depth: depth + 1});
+      }
+    } else if (!isScalar(value)) {
+      return 'value is not JSON data';
+    }
+  }
+  return undefined;
+}
+
+function isPlain(value: object): boolean {
+  if (Array.isArray(value)) return true;
+  const prototype: unknown = Object.getPrototypeOf(value);
+  return prototype === Object.prototype || prototype === null;
+}
+
+function isScalar(value: unknown): boolean {
+  if (typeof value === 'number') return Number.isFinite(value);
+  return (
+    value === null || typeof value === 'string' || typeof value === 'boolean'
+  );
+}
+
+/** Checks a document: schema first, then the whole reference graph. */
+export function checkDocument(value: unknown): Checked<Document> {
+  const size = measureJson(value);
+  if (!size.ok) return size;
+  if (size.value > MAX_DOCUMENT_BYTES) {
+    return refuse(`document has ${size.value} bytes of JSON, over the limit`);
+  }
+  const parsed = documentSchema.safeParse(value);
+  if (!parsed.success) return refuse(...formatIssues(parsed.error));
+  const faults = findGraphFaults(parsed.data);
+  if (faults.length > 0) return refuse(...faults);
+  return {ok: true, value: parsed.data};
+}
+
+function formatIssues(error: z.ZodError): string[] {
+  return error.issues.map(
+    issue => `${formatPointer(issue.path)}: ${issue.message}`,
+  );
+}
+
+/** JSON pointer of a path, as patches use it; `(root)` for the whole value. */
+function formatPointer(path: readonly PropertyKey[]): string {
+  const steps = path.map(
+    step => `/${String(step).replaceAll('~', '~0').replaceAll('/', '~1')}`,
+  );
+  return steps.join('') || '(root)';
+}
+
+function findGraphFaults(document: Document): string[] {
+  return [
+    ...findReservedNames(document),
+    ...findServiceFaults(document),
+    ...findRouteFaults(document),
+    ...findDuplicateRoutes(document),
+  ];
+}
+
+/** Names such as `constructor` would be found on any object by a lookup. */
+function findReservedNames(document: Document): string[] {
+  return Object.entries(document).flatMap(([map, items]) =>
+    Object.keys(items)
+      .filter(isReserved)
+      .map(name => `/${map}/${name}: name is reserved`),
+  );
+}
+
+function isReserved(name: string): boolean {
+  return name in Object.prototype || name === 'prototype';
+}
+
+function findServiceFaults(document: Document): string[] {
+  return Object.entries(document.services).flatMap(([name, service]) =>
+    service.dataCentres.flatMap((dataCentre, i) =>
+      Object.hasOwn(document.dataCentres, dataCentre)
+        ? []
+        : [`/services/${name}/dataCentres/${i}: no data centre ${dataCentre}`],
+    ),
+  );
+}
+
+function findRouteFaults(document: Document): string[] {
+  const faults: string[] = [];
+  for (const [name, route] of Object.entries(document.routes)) {
+    // Request paths are ASCII on the wire. Text that is no valid Unicode
+    // changes in transit between daemons and would give differing digests.
+    if (!/^[\x21-\x7e]*$/.test(route.pathPrefix)) {
+      faults.push(`/routes/${name}/pathPrefix: only printable ASCII`);
+    }
+    if (!Object.hasOwn(document.services, route.service)) {
+      faults.push(`/routes/${name}/service: no service ${route.service}`);
+    } else if (!isServed(document, route.service)) {
+      faults.push(
+        `/routes/${name}/service: every data centre of ${route.service} is out`,
+      );
+    }
+  }
+  return faults;
+}
+
+function isServed(document: Document, service: string): boolean {
+  return document.services[service].dataCentres.some(
+    name =>
+      Object.hasOwn(document.dataCentres, name) &&
+      document.dataCentres[name].state === 'in',
+  );
+}
+
+function findDuplicateRoutes(document: Document): string[] {
+  const faults: string[] = [];
+  const owners = new Map<string, string>();
+  for (const [name, route] of Object.entries(document.routes)) {
+    route.methods.forEach((method, i) => {
+      const pair = `${method} ${route.pathPrefix}`;
+      const owner = owners.get(pair);
+      if (owner === undefined) owners.set(pair, name);
+      else faults.push(`/routes/${name}/methods/${i}: ${pair} is in ${owner}`);
+    });
+  }
+  return faults;
+}
+
+/** Judges one entry against the version accepted before it. */
+export function judgeEntry(
+  current: Version | undefined,
+  entry: Entry,
+): Checked<Version> {
+  const size = measureJson(entry.value);
+  if (!size.ok) return size;
+  if (size.value > MAX_VALUE_BYTES) {
+    return refuse(`value has ${size.value} bytes of JSON, above 1 MB`);
+  }
+  if (entry.kind === 'snapshot') return judgeSnapshot(current, entry);
+  if (entry.kind === 'patch') return judgePatch(current, entry);
+  return refuse(`unknown kind ${entry.kind}`);
+}
+
+function judgeSnapshot(
+  current: Version | undefined,
+  entry: Entry,
+): Checked<Version> {
+  const parsed = snapshotSchema.safeParse(entry.value);
+  if (!parsed.success) return refuse(...formatIssues(parsed.error));
+  const {version, digest} = parsed.data;
+  if (current && version === current.version && digest === current.digest) {
+    return {ok: true, value: current};
+  }
+  if (current && version <= current.version) {
+    return refuse(`version ${version} is not above ${current.version}`);
+  }
+  const checked = checkDocument(parsed.data.document);
+  if (!checked.ok) return checked;
+  const computed = computeDigest(checked.value);
+  if (computed !== digest) {
+    return refuse(`digest does not match the document, expected ${computed}`);
+  }
+  return {ok: true, value: createVersion(version, entry.index, checked.value)};
+}
+
+function judgePatch(
+  current: Version | undefined,
+  entry: Entry,
+): Checked<Version> {
+  const parsed = patchSchema.safeParse(entry.value);
+  if (!parsed.success) return refuse(...formatIssues(parsed.error));
+  const {base, baseDigest, ops} = parsed.data;
+  if (!current || base !== current.version) {
+    return refuse(`base ${base} is not version ${current?.version ?? 0}`);
+  }
+  if (baseDigest !== current.digest) {
+    return refuse(`base digest differs from that of version ${base}`);
+  }
+  const faults = findOperationFaults(ops);
+  if (faults.length > 0) return refuse(...faults);
+  const patched = applyOperations(current.document, ops);
+  if (!patched.ok) return patched;
+  const checked = checkDocument(patched.value);
+  if (!checked.ok) return checked;
+  return {ok: true, value: createVersion(base + 1, entry.index, checked.value)};
+}
+
+/** Creates an immutable version; the digest is computed from the document. */
+export function createVersion(
+  version: number,
+  index: number,
+  document: Document,
+): Version {
+  const digest = computeDigest(document);
+  return Object.freeze({version, digest, index, document: freeze(document)});
+}
+
+function freeze<T extends object>(value: T): T {
+  for (const field of Object.values(value)) {
+    if (typeof field === 'object' && field !== null) freeze(field as object);
+  }
+  return Object.freeze(value);
+}
+
+function findOperationFaults(ops: Patch['ops']): string[] {
+  return ops.flatMap((op, i) => {
+    const at = `/ops/${i}`;
+    const faults = findPointerFaults(`${at}/path`, op.path);
+    if (op.op === 'move' || op.op === 'copy') {
+      faults.push(...findPointerFaults(`${at}/from`, op.from));
+    } else if (op.op !== 'remove' && op.value === undefined) {
+      faults.push(`${at}/value: missing`);
+    }
+    return faults;
+  });
+}
+
+function findPointerFaults(at: string, pointer: unknown): string[] {
+  if (typeof pointer !== 'string') return [`${at}: missing`];
+  if (!/^(\/([^~/]|~[01])*)*$/.test(pointer)) {
+    return [`${at}: not a JSON pointer`];
+  }
+  const steps = pointer.split('/').slice(1);
+  const reserved = steps.find(isReserved);
+  return reserved === undefined ? [] : [`${at}: ${reserved} is reserved`];
+}
+
+function applyOperations(
+  document: Document,
+  ops: Patch['ops'],
+): Checked<unknown> {
+  try {
+    // The library inserts operation values by reference and later operations
+    // change them. The entry is relayed as published, so it needs a copy.
+    const copy = structuredClone(ops) as unknown as fastJsonPatch.Operation[];
+    const result = fastJsonPatch.applyPatch(document, copy, true, false);
+    return {ok: true, value: result.newDocument};
+  } catch (err) {
+    return refuse(describePatchError(err));
+  }
+}
+
+function describePatchError(err: unknown): string {
+  if (err instanceof fastJsonPatch.JsonPatchError) {
+    return `/ops/${err.index ?? 0}: does not apply, ${err.name}`;
+  }
+  const name = err instanceof Error ? err.name : 'error';
+  return `/ops: do not apply, ${name}`;
+}
+
+/**
+ * Creates the patch that leads from a version to another document. Throws a
+ * `BerylbendError` if the document is invalid or the patch would be refused.
+ */
+export function makePatch(
+  current: Version,
+  nextDocument: unknown,
+  author: string,
+  note = '',
+): Patch {
+  const checked = checkDocument(nextDocument);
+  if (!checked.ok) throw new BerylbendError('badDocument', checked.faults);
+  const ops = fastJsonPatch.compare(current.document, checked.value);
+  if (ops.length === 0) throw new BerylbendError('badPatch', ['no changes']);
+  const {version: base, digest: baseDigest} = current;
+  const copy = structuredClone(ops) as unknown as Patch['ops'];
+  const patch = {base, baseDigest, ops: copy, author, note};
+  const judged = checkPatch(current, patch);
+  if (!judged.ok) throw new BerylbendError('badPatch', judged.faults);
+  return patch;
+}
+
+/** Checks a patch against a version; the result carries no source index. */
+export function checkPatch(
+  current: Version | undefined,
+  value: unknown,
+): Checked<Version> {
+  return judgeEntry(current, {index: 0, prev: 0, kind: 'patch', value});
+}
