--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -2,7 +2,7 @@
 import type {Random} from '../utils/random.js';
 import {createConfigState, type ConfigState} from './config.js';
 import {createMemberTable, type MemberTable} from './members.js';
-import {createOverlayState, type OverlayState} from './overlayState.js';
+import {createOverlayState, type OverlayState} from './overlay_state.js';
 import {createReaderState, type ReaderState} from './reader.js';
 import {createRelayState, type RelayState} from './relay.js';
 import {createTimeline, type Timeline} from './timeline.js';
--- a/src/core/control.ts
+++ b/src/core/control.ts
@@ -61,7 +61,7 @@
   if (link === undefined) return [];
   checkPause(board, now);
   link.heardAt = now;
-  count(board, `received-${msg.t}`);
+  count(board, `received_${msg.t}`);
   const handler = HANDLERS[msg.t] as Handler<MessageName>;
   return handler(board, from, msg, now);
 }
@@ -149,7 +149,7 @@
   const peer = record.id;
   const known = board.links.has(peer);
   if (!dialled && !known && isFull(board)) {
-    count(board, 'linksRefusedFull');
+    count(board, 'links_refused_full');
     return [{kind: 'close', to: peer, reason: 'full'}];
   }
   checkPause(board, now);
@@ -184,7 +184,7 @@
   checkPause(board, now);
   board.links.delete(peer);
   board.relay.transfers.delete(peer);
-  count(board, `linkDown-${reason}`);
+  count(board, `link_down_${reason}`);
   if (link) recordEvent(board.timeline, 'linkDown', {peer, reason}, now);
   if (link === undefined || link.dialled) noteDialEnd(board, peer, reason, now);
   return noteLinkDown(board, peer, now, reason);
--- a/src/core/dissemination.ts
+++ b/src/core/dissemination.ts
@@ -23,7 +23,7 @@
   const knowers = from === undefined ? [] : [from];
   board.members.pending.set(record.id, new Set(knowers));
   if (before?.state !== record.state) {
-    count(board, `memberState-${record.state}`);
+    count(board, `member_${record.state}`);
     const detail = {member: record.id, state: record.state};
     recordEvent(board.timeline, 'memberChanged', detail, now);
   }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -159,7 +159,7 @@
     }
   }
   announceSelf(board, record.incarnation + 1);
-  count(board, 'memberRefutations');
+  count(board, 'member_refutations');
 }
 
 /** Sends the records of the buckets that a peer asks for. */
@@ -204,7 +204,7 @@
   table.exchanges.set(from, {askedAt: asks ? now : askedAt, differing});
   if (!asks) return [];
   table.askedAll = true;
-  count(board, 'memberExchanges');
+  count(board, 'member_exchanges');
   return [{kind: 'send', to: from, msg: {t: 'wantMembers', buckets: wanted}}];
 }
 
--- a/src/core/overlay.ts
+++ b/src/core/overlay.ts
@@ -2,7 +2,7 @@
 import {weighRendezvous} from '../utils/hash.js';
 import {count, type Board, type Effect} from './blackboard.js';
 import type {Member} from './members.js';
-import type {OverlayState} from './overlayState.js';
+import type {OverlayState} from './overlay_state.js';
 
 /** Peers dialled in the own data centre. */
 export const OWN_PEERS = 3;
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -22,7 +22,7 @@
 export * from './core/wants.js';
 export * from './core/relay.js';
 export * from './core/members.js';
-export * from './core/overlayState.js';
+export * from './core/overlay_state.js';
 export * from './core/blackboard.js';
 export * from './core/staleness.js';
 export * from './core/dissemination.js';
