--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,10 @@
   createBoard,
   createRandom,
   FORWARD_PREFIX,
+  handleList,
+  handleSourceError,
+  handleSourceReply,
+  handleTick,
   recordEvent,
   TICK_MS,
   type Board,
@@ -12,12 +16,6 @@
   type MemberRecord,
   type Settings,
 } from '../internal.js';
-import {
-  handleList,
-  handleSourceError,
-  handleSourceReply,
-  handleTick,
-} from '../core/control.js';
 import {createAdmin} from './admin.js';
 import {createEntry} from './entry.js';
 import {createLog, logEvent} from './log.js';
