--- a/__tests__/support/network.ts
+++ b/__tests__/support/network.ts
@@ -281,8 +281,9 @@
   private tick(node: Node): void {
     if (!node.alive) return;
     this.after(TICK_MS, () => this.tick(node));
-    if (!node.paused)
+    if (!node.paused) {
       this.call(node, 'tick', now => handleTick(node.board, now));
+    }
   }
 
   /** Calls a controller under the clocks of the daemon, unless it is paused. */
