Add stand-ins for the platform and the upstreams

Cause: tests, the demo and the benchmarks need the configuration service, the instance list, upstreams and faulty links without any outside system.

Each stand-in is a create function with listen and close; run.js starts one as a process with a schema-checked control port. The series of entries is separate from its HTTP transport, so that in-process scenarios can use it.

Ruled out: real sleeps; sockets run in real time and the timers of the stand-ins on a fake clock.

--- /dev/null
+++ b/standins/lagging.ts
@@ -0,0 +1,24 @@
+/** Value whose readers see what it was some time ago. */
+export interface Lagging<T> {
+  set(value: T): void;
+  /** Value as of `lagMs` ago. */
+  read(lagMs: number): T;
+}
+
+/** Creates a lagging value; history older than a minute is dropped. */
+export function createLagging<T>(initial: T): Lagging<T> {
+  let history = [{at: -Infinity, value: initial}];
+  return {
+    set: value => {
+      const now = performance.now();
+      history.push({at: now, value});
+      if (history.length < 10_000) return;
+      const kept = history.findLastIndex(h => h.at < now - 60_000);
+      history = history.slice(Math.max(kept, history.length - 5_000));
+    },
+    read: lagMs => {
+      const limit = performance.now() - lagMs;
+      return (history.findLast(h => h.at <= limit) ?? history[0]).value;
+    },
+  };
+}
--- /dev/null
+++ b/standins/ledger.ts
@@ -0,0 +1,58 @@
+/** How a run ended; `running` until it has. */
+export type RunOutcome =
+  'running' | 'done' | 'cancelled' | 'deadline' | 'crashed';
+
+/** One run of one operation at an upstream. */
+export interface Run {
+  readonly seq: number;
+  readonly upstream: string;
+  /** Value of `berylbend-id`, empty when absent. */
+  readonly id: string;
+  /** Value of `idempotency-key`, empty when absent. */
+  readonly key: string;
+  /** Name that the customer gave the operation with `?op=`, else empty. */
+  readonly operation: string;
+  readonly method: string;
+  readonly path: string;
+  readonly startedAtMs: number;
+  outcome: RunOutcome;
+}
+
+/** Every run of every operation; one ledger may serve many upstreams. */
+export interface Ledger {
+  readonly runs: readonly Run[];
+  start(run: Omit<Run, 'seq' | 'outcome'>): Run;
+  byKey(key: string): Run[];
+  byOperation(operation: string): Run[];
+  /** Groups of runs with the same key or operation name, larger than one. */
+  findRepeats(): Run[][];
+}
+
+/** Creates an empty ledger. */
+export function createLedger(): Ledger {
+  const runs: Run[] = [];
+
+  function start(run: Omit<Run, 'seq' | 'outcome'>): Run {
+    const started: Run = {...run, seq: runs.length + 1, outcome: 'running'};
+    runs.push(started);
+    return started;
+  }
+
+  function findRepeats(): Run[][] {
+    const groups = new Map<string, Run[]>();
+    for (const run of runs) {
+      const name = run.key ? `key ${run.key}` : `operation ${run.operation}`;
+      if (!run.key && !run.operation) continue;
+      groups.set(name, [...(groups.get(name) ?? []), run]);
+    }
+    return [...groups.values()].filter(group => group.length > 1);
+  }
+
+  return {
+    runs,
+    start,
+    byKey: key => runs.filter(run => run.key === key),
+    byOperation: name => runs.filter(run => run.operation === name),
+    findRepeats,
+  };
+}
--- /dev/null
+++ b/standins/relay.ts
@@ -0,0 +1,113 @@
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {Transform} from 'node:stream';
+
+/** What a cut does to connections: resets them, or loses all bytes. */
+export type CutKind = 'reset' | 'silent';
+
+/** Handle of a relay that injects faults into TCP connections. */
+export interface Relay {
+  /** Delay of each direction, ms. */
+  setDelay(delayMs: number): void;
+  cut(kind?: CutKind): void;
+  /** Restores traffic; connections cut silently are reset first. */
+  heal(): void;
+  readonly counts: Readonly<{connections: number; refused: number}>;
+  /** Listens on 127.0.0.1; returns the port. */
+  listen(port?: number): Promise<number>;
+  close(): Promise<void>;
+}
+
+/** Creates a relay to a port on 127.0.0.1. */
+export function createRelay({
+  targetPort,
+  delayMs = 0,
+}: {
+  targetPort: number;
+  delayMs?: number;
+}): Relay {
+  const sockets = new Set<Socket>();
+  const counts = {connections: 0, refused: 0};
+  let delay = delayMs;
+  let cutKind: CutKind | undefined;
+
+  function createDelay(): Transform {
+    return new Transform({
+      transform(chunk: Buffer, _encoding, done) {
+        if (cutKind === 'silent') {
+          done();
+          return;
+        }
+        if (delay > 0) setTimeout(() => done(null, chunk), delay);
+        else done(null, chunk);
+      },
+    });
+  }
+
+  function accept(client: Socket): void {
+    counts.connections++;
+    if (cutKind === 'reset') {
+      counts.refused++;
+      client.destroy();
+      return;
+    }
+    const target = connect({
+      port: targetPort,
+      host: '127.0.0.1',
+      allowHalfOpen: true,
+    });
+    for (const [socket, other] of [
+      [client, target],
+      [target, client],
+    ]) {
+      sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on('error', () => other.destroy());
+      socket.on('close', () => {
+        sockets.delete(socket);
+        // A socket closed before both directions ended takes the other along.
+        if (!socket.readableEnded || !socket.writableFinished) other.destroy();
+      });
+    }
+    client.pipe(createDelay()).pipe(target);
+    target.pipe(createDelay()).pipe(client);
+  }
+
+  function destroyAll(): void {
+    for (const socket of sockets) socket.destroy();
+  }
+
+  const server: Server = createServer({allowHalfOpen: true}, accept);
+
+  return {
+    setDelay: next => {
+      delay = next;
+    },
+    cut: (kind = 'reset') => {
+      cutKind = kind;
+      if (kind === 'reset') destroyAll();
+    },
+    heal: () => {
+      if (cutKind === 'silent') destroyAll();
+      cutKind = undefined;
+    },
+    counts,
+    listen: (port = 0) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(port, '127.0.0.1', () =>
+          resolve((server.address() as AddressInfo).port),
+        );
+      }),
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        destroyAll();
+      }),
+  };
+}
--- /dev/null
+++ b/standins/run.ts
@@ -0,0 +1,92 @@
+import {parseArgs} from 'node:util';
+import {z} from 'zod';
+import {createConfigService} from './config_service.js';
+import {
+  createConfigCommands,
+  createControlPort,
+  createListCommands,
+  createUpstreamCommands,
+  type CommandHandler,
+} from './control_port.js';
+import {createInstanceList} from './instance_list.js';
+import {createUpstream} from './upstream.js';
+
+// Runs one stand-in as a process:
+//   node dist/standins/run.js KIND --port N --control N --options JSON
+// Prints one JSON line {url, controlUrl} when it listens.
+
+const PORT = z.coerce.number().int().min(0).max(65_535).default(0);
+const POSITIVE = z.number().positive();
+const configOptions = z.strictObject({
+  callsPerSecond: POSITIVE.optional(),
+  indexStep: z.int().min(1).optional(),
+});
+const listOptions = z.strictObject({lagMs: z.number().min(0).optional()});
+const upstreamOptions = z.strictObject({
+  id: z.string(),
+  slots: z.int().min(1).optional(),
+  connections: z.int().min(1).optional(),
+  connectionCostMs: z.number().min(0).optional(),
+  serviceMs: z.number().min(0).optional(),
+  lagMs: z.number().min(0).optional(),
+  restartMs: z.number().min(0).optional(),
+  cold: z
+    .strictObject({
+      slots: z.int().min(1),
+      slowdown: z.number().min(1),
+      warmAfterRuns: z.int().min(0),
+      fallOverAt: z.int().min(1),
+    })
+    .partial()
+    .optional(),
+});
+
+interface StandIn {
+  listen(port?: number): Promise<string>;
+  close(): Promise<void>;
+}
+
+const KINDS: Record<string, (options: unknown) => [StandIn, CommandHandler]> = {
+  'config-service': options => {
+    const service = createConfigService(configOptions.parse(options));
+    return [service, createConfigCommands(service)];
+  },
+  'instance-list': options => {
+    const list = createInstanceList(listOptions.parse(options));
+    return [list, createListCommands(list)];
+  },
+  upstream: options => {
+    const upstream = createUpstream(upstreamOptions.parse(options));
+    return [upstream, createUpstreamCommands(upstream)];
+  },
+};
+
+async function main(): Promise<void> {
+  const {values, positionals} = parseArgs({
+    allowPositionals: true,
+    options: {
+      port: {type: 'string'},
+      control: {type: 'string'},
+      options: {type: 'string', default: '{}'},
+    },
+  });
+  const kind = positionals[0] ?? '';
+  if (!Object.hasOwn(KINDS, kind)) {
+    throw new Error(`kind must be one of ${Object.keys(KINDS).join(', ')}`);
+  }
+  const [standIn, execute] = KINDS[kind](JSON.parse(values.options));
+  const control = createControlPort(execute);
+  const url = await standIn.listen(PORT.parse(values.port));
+  const controlUrl = await control.listen(PORT.parse(values.control));
+  process.stdout.write(`${JSON.stringify({url, controlUrl})}\n`);
+  const stop = () => {
+    void Promise.all([standIn.close(), control.close()]);
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+main().catch((err: unknown) => {
+  process.stderr.write(`${err instanceof Error ? err.message : err}\n`);
+  process.exitCode = 2;
+});
