--- a/src/core/reader.ts
+++ b/src/core/reader.ts
@@ -1,8 +1,8 @@
 import type {Entry} from '../types/document.js';
-import type {MemberRecord} from '../types/messages.js';
 import {computeBackoff} from '../utils/backoff.js';
 import {rankByRendezvous} from '../utils/hash.js';
 import {count, type Board, type Effect} from './blackboard.js';
+import {listMembers} from './membership.js';
 import {acceptEntries, relayEntries} from './relay.js';
 import {findNewestSuccess} from './source_age.js';
 import {recordEvent} from './timeline.js';
@@ -115,17 +115,11 @@
 /** Rank of this daemon among the live members of its data centre. */
 export function computeReaderRank(board: Board): number {
   const {id, dataCentre} = board.self;
-  const ids = new Set(listLivePeers(board).map(record => record.id)).add(id);
+  const live = listMembers(board, {dataCentre, states: ['live']});
+  const ids = new Set(live.map(record => record.id)).add(id);
   return rankByRendezvous(`reader/${dataCentre}`, ids).indexOf(id);
 }
 
-function listLivePeers(board: Board): MemberRecord[] {
-  return [...board.members.byId.values()]
-    .map(member => member.record)
-    .filter(record => record.dataCentre === board.self.dataCentre)
-    .filter(record => record.state === 'live');
-}
-
 /** Starts the next read when this daemon is to read the source now. */
 export function tickReader(board: Board, now: number): Effect[] {
   const {reader} = board;
