--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -53,11 +53,13 @@
 
 function findJsonFault(root: unknown): string | undefined {
   const stack: {value: unknown; depth: number}[] = [{value: root, depth: 0}];
-  let nodes = 0;
+  let units = 0;
   for (let item = stack.pop(); item; item = stack.pop()) {
     const {value, depth} = item;
-    // Shared references make a small value large when it is written out.
-    if (++nodes > MAX_VALUE_BYTES) return 'value has too many parts';
+    // Every part and character takes at least a byte. Shared references could
+    // make a small value too large to write out and measure.
+    units += typeof value === 'string' ? value.length : 1;
+    if (units > MAX_VALUE_BYTES) return 'value is above 1 MB';
     if (depth > MAX_DEPTH) return `value is nested deeper than ${MAX_DEPTH}`;
     if (typeof value === 'object' && value !== null) {
       if (!isPlain(value)) return 'value is not JSON data';
@@ -195,7 +197,7 @@
   const size = measureJson(entry.value);
   if (!size.ok) return size;
   if (size.value > MAX_VALUE_BYTES) {
-    return refuse(`value has ${size.value} bytes of JSON, above 1 MB`);
+    return refuse('value is above 1 MB');
   }
   if (entry.kind === 'snapshot') return judgeSnapshot(current, entry);
   if (entry.kind === 'patch') return judgePatch(current, entry);
