--- a/__tests__/support/network.ts
+++ b/__tests__/support/network.ts
@@ -281,8 +281,8 @@
   private tick(node: Node): void {
     if (!node.alive) return;
     this.after(TICK_MS, () => this.tick(node));
-    if (!node.paused)
-      this.call(node, 'tick', now => handleTick(node.board, now));
+    if (node.paused) return;
+    this.call(node, 'tick', now => handleTick(node.board, now));
   }
 
   /** Calls a controller under the clocks of the daemon, unless it is paused. */
@@ -315,13 +315,19 @@
   }
 
   private execute(node: Node, effect: Effect): void {
-    if (effect.kind === 'send') this.send(node, effect.to, effect.msg);
-    else if (effect.kind === 'dial') this.dial(node, effect.to.id);
-    else if (effect.kind === 'readSource') this.readSource(node, effect);
-    else if (effect.kind === 'readList') this.readList(node);
-    else {
-      const channel = this.find(node, effect.to);
-      if (channel) this.closeEnd(channel, node, effect.reason);
+    switch (effect.kind) {
+      case 'send':
+        return this.send(node, effect.to, effect.msg);
+      case 'dial':
+        return this.dial(node, effect.to.id);
+      case 'readSource':
+        return this.readSource(node, effect);
+      case 'readList':
+        return this.readList(node);
+      case 'close': {
+        const channel = this.find(node, effect.to);
+        if (channel) this.closeEnd(channel, node, effect.reason);
+      }
     }
   }
 
@@ -371,8 +377,8 @@
           handleLinkDown(node.board, peer, 'dial-failed', now),
         ),
       );
-    if (!target) return fail(1);
-    if (this.isCut(node, target) || target.paused) return fail(DIAL_TIMEOUT_MS);
+    const isSilent = this.isCut(node, target) || target.paused;
+    if (isSilent) return fail(DIAL_TIMEOUT_MS);
     const rtt = 2 * this.delay(node, target);
     if (!target.alive) return fail(rtt);
     this.after(rtt, () => {
