--- a/src/core/control.ts
+++ b/src/core/control.ts
@@ -164,7 +164,7 @@
 }
 
 /** Close reasons of the other side that are taken over; see `noteLinkDown`. */
-const REMOTE_REASONS = new Set(['full', 'surplus', 'leaving']);
+const REMOTE_REASONS = new Set(['full', 'surplus', 'duplicate', 'leaving']);
 
 /** Reason to report for a link that the other side closed. */
 export function readRemoteReason(reason: string): string {
--- a/src/core/overlay.ts
+++ b/src/core/overlay.ts
@@ -43,6 +43,9 @@
 /** Least time between two closed surplus links, ms. */
 export const SURPLUS_EVERY_MS = 5_000;
 
+/** Wait after a dial that met an older link, ms. */
+const DUPLICATE_RETRY_MS = 1_000;
+
 const DIAL_BACKOFF_MS = 500;
 const DIAL_BACKOFF_CAP_MS = 10_000;
 const ISOLATED_BACKOFF_MS = 200;
@@ -282,6 +285,10 @@
     const until = now + FULL_RETRY_MS * (0.5 + random());
     overlay.refusedUntil.set(peer, until);
   }
+  if (reason === 'duplicate') {
+    // The peer still holds an older link, until it notices its silence.
+    overlay.refusedUntil.set(peer, now + DUPLICATE_RETRY_MS);
+  }
   const member = members.byId.get(peer);
   if (member === undefined || reason !== 'dial-failed') return;
   if (member.record.state === 'gone') return;
--- /dev/null
+++ b/src/daemon/links.ts
@@ -0,0 +1,313 @@
+import {randomBytes} from 'node:crypto';
+import type {IncomingMessage, Server} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {WebSocket, WebSocketServer, type RawData} from 'ws';
+import {
+  authSchema,
+  canonicalJson,
+  helloSchema,
+  MAX_FRAME_BYTES,
+  parseMessage,
+  readRemoteReason,
+  sign,
+  verify,
+  type Hello,
+  type MemberRecord,
+  type PeerMessage,
+} from '../internal.js';
+import {decodeFrame, encodeFrame} from './frames.js';
+
+/** Path of control links on the peer port. */
+export const LINK_PATH = '/link';
+
+/** Time for connecting and the handshake, ms. */
+export const HANDSHAKE_MS = 3_000;
+
+/** Bytes queued to one peer beyond which its link is closed. */
+export const MAX_BUFFERED_BYTES = 4_000_000;
+
+/** Accepted connections that are not authenticated yet. */
+export const MAX_PENDING = 16;
+
+/** Largest frame before the peer is authenticated, bytes. */
+export const MAX_HELLO_BYTES = 4_096;
+
+/** Time for the other side to complete the closing of a link, ms. */
+const CLOSE_MS = 1_000;
+
+/** Private close code; the reason says why. */
+const CLOSE_CODE = 4_000;
+
+/** What the links need from the daemon. */
+export interface LinksDeps {
+  /** Own record at this moment. */
+  readonly getSelf: () => MemberRecord;
+  /** Key that all peers share. */
+  readonly peerKey: string;
+  readonly onUp: (record: MemberRecord, dialled: boolean) => void;
+  /** Called for a lost link and, with `dial-failed`, for a failed dial. */
+  readonly onDown: (id: string, reason: string) => void;
+  readonly onMessage: (id: string, msg: PeerMessage) => void;
+  readonly count: (name: string) => void;
+  readonly handshakeMs?: number;
+  readonly maxBufferedBytes?: number;
+}
+
+/** Control links of one daemon. */
+export interface Links {
+  /** Accepts links on the upgrade event of a server. */
+  attach(server: Server): void;
+  dial(record: MemberRecord): void;
+  send(id: string, msg: PeerMessage): void;
+  close(id: string, reason: string): void;
+  /** Closes all links; resolves when their sockets are closed. */
+  stop(): Promise<void>;
+}
+
+/** One connection, from its first byte to its end. */
+interface Session {
+  readonly socket: WebSocket;
+  readonly dialled: boolean;
+  /** Id that was dialled. */
+  readonly expected?: string;
+  readonly hello: Hello;
+  peerHello?: Hello;
+  established: boolean;
+  /** Reason given by this side; the first one counts. */
+  reason?: string;
+  timer: NodeJS.Timeout;
+}
+
+/** Creates the links of a daemon. */
+export function createLinks(deps: LinksDeps): Links {
+  const sessions = new Set<Session>();
+  /** Established link by peer id; at most one each. */
+  const links = new Map<string, Session>();
+  const maxBuffered = deps.maxBufferedBytes ?? MAX_BUFFERED_BYTES;
+  const wsOptions = {maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false};
+  const wss = new WebSocketServer({noServer: true, ...wsOptions});
+  let stopped = false;
+
+  function open(socket: WebSocket, dialled: boolean, expected?: string): void {
+    const session: Session = {
+      socket,
+      dialled,
+      expected,
+      hello: createHello(deps.getSelf()),
+      established: false,
+      timer: setTimeout(
+        () => end(session, 'handshake-timeout'),
+        deps.handshakeMs ?? HANDSHAKE_MS,
+      ),
+    };
+    sessions.add(session);
+    const greet = (): void => socket.send(encodeFrame(session.hello));
+    if (socket.readyState === WebSocket.OPEN) greet();
+    else socket.once('open', greet);
+    socket.on('message', (data, isBinary) => {
+      if (session.reason === undefined) receive(session, data, isBinary);
+    });
+    socket.on('error', err => noteError(session, err));
+    socket.on('close', (code, reason) => {
+      finish(session, code === CLOSE_CODE ? reason.toString() : '');
+    });
+  }
+
+  function receive(session: Session, data: RawData, isBinary: boolean): void {
+    const frame = data as Buffer;
+    if (!isBinary) return end(session, 'text-frame');
+    if (session.established) return receiveMessage(session, frame);
+    if (frame.length > MAX_HELLO_BYTES) return end(session, 'bad-hello');
+    const raw = decodeFrame(frame);
+    if (session.peerHello === undefined) receiveHello(session, raw);
+    else receiveAuth(session, raw);
+  }
+
+  function receiveHello(session: Session, raw: unknown): void {
+    const parsed = helloSchema.safeParse(raw);
+    if (!parsed.success) return end(session, 'bad-hello');
+    const {id} = parsed.data.record;
+    if (id === session.hello.record.id) return end(session, 'own-id');
+    if (session.expected !== undefined && id !== session.expected) {
+      return end(session, 'wrong-peer');
+    }
+    session.peerHello = parsed.data;
+    const mac = computeMac(deps.peerKey, session, session.dialled);
+    session.socket.send(encodeFrame({t: 'auth', mac}));
+  }
+
+  function receiveAuth(session: Session, raw: unknown): void {
+    const parsed = authSchema.safeParse(raw);
+    if (!parsed.success) return end(session, 'bad-auth');
+    const parts = listMacParts(session, !session.dialled);
+    if (!verify(deps.peerKey, parsed.data.mac, ...parts)) {
+      return end(session, 'bad-auth');
+    }
+    establish(session);
+  }
+
+  function establish(session: Session): void {
+    clearTimeout(session.timer);
+    session.established = true;
+    const {record} = session.peerHello!;
+    const old = links.get(record.id);
+    if (old && prefersOld(old, session)) return end(session, 'duplicate');
+    links.set(record.id, session);
+    if (old) end(old, 'duplicate');
+    deps.count('links_established');
+    deps.onUp(record, session.dialled);
+  }
+
+  function receiveMessage(session: Session, frame: Buffer): void {
+    const parsed = parseMessage(decodeFrame(frame));
+    if (!parsed.ok) return end(session, 'bad-message');
+    const {id} = session.peerHello!.record;
+    // Only the current link of a peer may speak for it.
+    if (links.get(id) === session) deps.onMessage(id, parsed.msg);
+  }
+
+  /** Closes a session from this side. */
+  function end(session: Session, reason: string): void {
+    if (session.reason !== undefined) return;
+    session.reason = reason;
+    clearTimeout(session.timer);
+    const {socket} = session;
+    if (socket.readyState === WebSocket.CONNECTING) {
+      socket.terminate();
+      return;
+    }
+    socket.close(CLOSE_CODE, reason);
+    session.timer = setTimeout(() => socket.terminate(), CLOSE_MS);
+    // A peer that reads slowly would otherwise keep the queued bytes alive.
+    if (reason === 'slow-peer') socket.terminate();
+    settle(session, reason);
+  }
+
+  function noteError(session: Session, err: Error): void {
+    const {code} = err as NodeJS.ErrnoException;
+    if (code === 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH') {
+      session.reason ??= 'oversized';
+    } else if (code?.startsWith('WS_ERR_')) {
+      session.reason ??= 'bad-frame';
+    } else if (err.message.endsWith('503')) {
+      // The peer lives but has too many handshakes under way.
+      session.reason ??= 'full';
+    }
+  }
+
+  function finish(session: Session, remoteReason: string): void {
+    clearTimeout(session.timer);
+    sessions.delete(session);
+    settle(session, session.reason ?? readRemoteReason(remoteReason));
+  }
+
+  const settled = new WeakSet<Session>();
+
+  /** Reports the end of a session once. */
+  function settle(session: Session, reason: string): void {
+    if (settled.has(session)) return;
+    settled.add(session);
+    deps.count(`link_closed_${reason.replaceAll('-', '_')}`);
+    const id = session.peerHello?.record.id ?? session.expected;
+    if (id === undefined || stopped) return;
+    if (session.established) {
+      if (links.get(id) !== session) return;
+      links.delete(id);
+      deps.onDown(id, reason);
+    } else if (session.dialled && !links.has(id)) {
+      const isHarmless = reason === 'full' || reason === 'duplicate';
+      deps.onDown(id, isHarmless ? reason : 'dial-failed');
+    }
+  }
+
+  function upgrade(req: IncomingMessage, socket: Duplex, head: Buffer): void {
+    if (req.url !== LINK_PATH) return refuse(socket, '404 Not Found');
+    let pending = 0;
+    for (const {established, dialled} of sessions) {
+      if (!established && !dialled) pending++;
+    }
+    if (stopped || pending >= MAX_PENDING) {
+      deps.count('link_refused_pending');
+      return refuse(socket, '503 Service Unavailable');
+    }
+    wss.handleUpgrade(req, socket, head, ws => open(ws, false));
+  }
+
+  return {
+    attach(server) {
+      server.on('upgrade', upgrade);
+    },
+    dial(record) {
+      if (stopped) return;
+      const {id, host, peerPort} = record;
+      const name = host.includes(':') ? `[${host}]` : host;
+      try {
+        const url = `ws://${name}:${peerPort}${LINK_PATH}`;
+        open(new WebSocket(url, wsOptions), true, id);
+      } catch {
+        // Thrown for a host that makes no valid URL.
+        deps.count('link_closed_bad_address');
+        deps.onDown(id, 'dial-failed');
+      }
+    },
+    send(id, msg) {
+      const session = links.get(id);
+      if (session === undefined) return;
+      const frame = encodeFrame(msg);
+      if (session.socket.bufferedAmount + frame.length > maxBuffered) {
+        return end(session, 'slow-peer');
+      }
+      session.socket.send(frame);
+    },
+    close(id, reason) {
+      const session = links.get(id);
+      if (session) end(session, reason);
+    },
+    async stop() {
+      stopped = true;
+      wss.close();
+      const closed = [...sessions].map(
+        ({socket}) => new Promise(resolve => socket.once('close', resolve)),
+      );
+      for (const session of sessions) end(session, 'leaving');
+      await Promise.all(closed);
+    },
+  };
+}
+
+function createHello(record: MemberRecord): Hello {
+  const nonce = randomBytes(16).toString('hex');
+  return {t: 'hello', proto: 1, record, nonce};
+}
+
+/**
+ * The MAC covers both hellos, with ids and nonces, and the role of its sender,
+ * so that it can be neither replayed nor reflected.
+ */
+function listMacParts(session: Session, byDialler: boolean): string[] {
+  const own = canonicalJson(session.hello);
+  const peer = canonicalJson(session.peerHello);
+  const both = session.dialled ? [own, peer] : [peer, own];
+  return ['link', byDialler ? 'dialler' : 'acceptor', ...both];
+}
+
+function computeMac(key: string, session: Session, byDialler: boolean): string {
+  return sign(key, ...listMacParts(session, byDialler));
+}
+
+/**
+ * Decides between two links to one peer, the same way at both ends: of two
+ * that cross, the one dialled by the smaller id stays. A peer that was
+ * restarted or dials once more has lost the old one.
+ */
+function prefersOld(old: Session, fresh: Session): boolean {
+  const {id, boot} = fresh.peerHello!.record;
+  if (old.peerHello!.record.boot !== boot) return false;
+  if (old.dialled === fresh.dialled) return false;
+  return old.dialled === fresh.hello.record.id < id;
+}
+
+function refuse(socket: Duplex, status: string): void {
+  socket.on('error', () => socket.destroy());
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+}
