--- /dev/null
+++ b/__tests__/support/owner_rig.ts
@@ -0,0 +1,167 @@
+import {once} from 'node:events';
+import {createServer, request, type IncomingHttpHeaders} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Clock} from '@sinonjs/fake-timers';
+import {createOwner, type Owner} from '../../src/daemon/owner.js';
+import {createUpstream} from '../../src/daemon/upstream.js';
+import {
+  createBoard,
+  createRandom,
+  documentSchema,
+  HEADERS,
+  mintKey,
+  sign,
+  type Board,
+  type MemberRecord,
+} from '../../src/internal.js';
+import type {UpstreamFake} from './upstream_fake.js';
+
+const PEER_KEY = 'a shared key of the peers';
+
+const SELF: MemberRecord = {
+  id: 'up-1',
+  incarnation: 1,
+  boot: 'a'.repeat(16),
+  dataCentre: 'dc-1',
+  region: 'north',
+  service: 'orders',
+  host: '127.0.0.1',
+  customerPort: 1,
+  peerPort: 1,
+  state: 'live',
+};
+
+/** Reply to a forwarded request; `cut` if the connection broke before its end. */
+export interface Reply {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  cut: boolean;
+}
+
+/** Options of a forwarded request. */
+export interface Send {
+  path?: string;
+  method?: string;
+  body?: string;
+  key?: string;
+  deadlineMs?: string;
+  /** Headers set after signing. */
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+  /** Called with the first bytes of the body. */
+  onData?: () => void;
+}
+
+/** Owner on a loopback port in front of a fake upstream. */
+export interface OwnerRig {
+  owner: Owner;
+  board: Board;
+  fake: UpstreamFake;
+  crashes: string[][];
+  mint(nonce: string): string;
+  send(id: string, options?: Send): Promise<Reply>;
+  setDataCentre(state: 'in' | 'out'): void;
+  close(): Promise<void>;
+}
+
+/** Puts a version in force that names one service and one data centre. */
+export function putInForce(board: Board, state: 'in' | 'out'): void {
+  const service = {slots: 4, connections: 4, dataCentres: ['dc-1']};
+  const route = {pathPrefix: '/', methods: ['GET', 'POST'], service: 'orders'};
+  const document = documentSchema.parse({
+    dataCentres: {'dc-1': {region: 'north', state}},
+    services: {orders: service, stock: service},
+    routes: {all: route, stock: {...route, service: 'stock'}},
+  });
+  const version = (board.config.inForce?.version ?? 0) + 1;
+  board.config.inForce = {version, digest: '', index: version, document};
+}
+
+/** Starts an owner; a rig with the same fake is a restarted process. */
+export async function startOwner(
+  clock: Clock,
+  fake: UpstreamFake,
+  boot: string = SELF.boot,
+): Promise<OwnerRig> {
+  const self = {...SELF, boot};
+  const board = createBoard(self, createRandom(1), clock.now);
+  putInForce(board, 'in');
+  const crashes: string[][] = [];
+  const owner = createOwner({
+    board,
+    peerKey: PEER_KEY,
+    upstream: createUpstream(fake.url, 4),
+    reportCrash: fingerprints => crashes.push(fingerprints),
+    now: () => clock.now,
+    wallAtStart: 1e12 + clock.now,
+  });
+  const server = createServer(owner);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  return {
+    owner,
+    board,
+    fake,
+    crashes,
+    mint(nonce) {
+      const expiresAt = 1e12 + clock.now + 600_000;
+      return mintKey(PEER_KEY, {owner: self.id, boot, expiresAt, nonce});
+    },
+    send: (id, options = {}) => forward(port, id, options),
+    setDataCentre: state => putInForce(board, state),
+    async close() {
+      server.closeAllConnections();
+      await owner.stop();
+      server.close();
+    },
+  };
+}
+
+/** Sends as an entry would. */
+function forward(port: number, id: string, options: Send): Promise<Reply> {
+  const {key, deadlineMs = '5000', path = '/ok', signal} = options;
+  const fingerprint = Buffer.from(id.padEnd(8)).toString('hex').slice(0, 64);
+  const mac = sign(PEER_KEY, id, 'all', fingerprint, key ?? '', deadlineMs);
+  const headers: Record<string, string> = {
+    [HEADERS.id]: id,
+    [HEADERS.route]: 'all',
+    [HEADERS.fingerprint]: fingerprint,
+    [HEADERS.deadlineMs]: deadlineMs,
+    [HEADERS.depth]: '2',
+    [HEADERS.budget]: '1',
+    [HEADERS.version]: '1',
+    [HEADERS.auth]: mac,
+    ...(key !== undefined && {[HEADERS.key]: key}),
+    ...options.headers,
+  };
+  const method = options.method ?? 'POST';
+  const target = {host: '127.0.0.1', port, path: `/forward${path}`};
+  return new Promise((resolve, reject) => {
+    const req = request({...target, method, headers, agent: false, signal});
+    req.on('error', reject);
+    req.on('response', res => {
+      let body = '';
+      const end = () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          body,
+          cut: !res.complete,
+        });
+      res.on('error', () => undefined);
+      res.on('data', chunk => {
+        body += String(chunk);
+        options.onData?.();
+      });
+      res.on('close', end);
+    });
+    req.end(options.body ?? '');
+  });
+}
+
+/** Waits until a condition holds, without any timer. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/__tests__/support/upstream_fake.ts
@@ -0,0 +1,92 @@
+import {once} from 'node:events';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** One request that reached the fake upstream. */
+export interface LedgerEntry {
+  readonly id: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  state: 'running' | 'finished' | 'cancelled';
+}
+
+type Reply = (res: ServerResponse, fake: UpstreamFake) => unknown;
+
+const REPLIES: Record<string, Reply> = {
+  '/ok': res => res.end('answer'),
+  '/hold': (res, fake) => fake.held.push(() => res.end('answer')),
+  '/big': res => res.end(Buffer.alloc(4_000_000, 'x')),
+  '/shed': res => res.writeHead(503, {'berylbend-shed': 'not-run'}).end(),
+  '/reset': res => res.destroy(),
+  '/cut': res => {
+    res.writeHead(200, {'content-length': 100}).write('part');
+    setImmediate(() => res.destroy());
+  },
+  '/unframed': (res, fake) => {
+    res.shouldKeepAlive = false;
+    res.useChunkedEncodingByDefault = false;
+    res.writeHead(200).write('part');
+    fake.held.push(() => res.end());
+  },
+  '/chunks': (res, fake) => {
+    res.write('part');
+    fake.held.push(() => res.end('rest'));
+  },
+};
+
+/** Upstream on loopback that writes down every request that it runs. */
+export class UpstreamFake {
+  readonly ledger: LedgerEntry[] = [];
+  /** Ends the answers of `/hold`, `/chunks` and `/unframed`, oldest first. */
+  readonly held: Array<() => unknown> = [];
+  running = 0;
+  mostRunning = 0;
+  port = 0;
+  private server?: Server;
+
+  get url(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  /** Listens, after a crash on the same port as before. */
+  async start(): Promise<void> {
+    this.server = createServer((req, res) => this.serve(req, res));
+    this.server.listen(this.port, '127.0.0.1');
+    await once(this.server, 'listening');
+    this.port = (this.server.address() as AddressInfo).port;
+  }
+
+  /** Resets all connections and refuses new ones. */
+  async crash(): Promise<void> {
+    const closed = new Promise(resolve => this.server?.close(resolve));
+    this.server?.closeAllConnections();
+    await closed;
+  }
+
+  /** Ledger entries that ran, by request id. */
+  runs(id: string): LedgerEntry[] {
+    return this.ledger.filter(entry => entry.id === id);
+  }
+
+  private serve(req: IncomingMessage, res: ServerResponse): void {
+    const path = req.url ?? '';
+    if (path === '/health') return void res.end('ok');
+    if (path === '/shed') return void REPLIES['/shed'](res, this);
+    const id = String(req.headers['berylbend-id']);
+    const {headers} = req;
+    const entry: LedgerEntry = {id, path, headers, state: 'running'};
+    this.ledger.push(entry);
+    this.running++;
+    this.mostRunning = Math.max(this.mostRunning, this.running);
+    res.once('close', () => {
+      this.running--;
+      entry.state = res.writableFinished ? 'finished' : 'cancelled';
+    });
+    REPLIES[path.split('?')[0]](res, this);
+  }
+}
--- /dev/null
+++ b/src/core/admission.ts
@@ -0,0 +1,316 @@
+import PQueue from 'p-queue';
+import {PRIORITIES, type Priority} from '../types/document.js';
+import type {Outcome} from '../types/verdict.js';
+import {
+  createLimit,
+  isCold,
+  isSlow,
+  noteAnswer,
+  noteFault,
+  resetToCold,
+  setCeiling,
+  type Limit,
+} from './limits.js';
+import {
+  checkStall,
+  createStall,
+  noteEnd,
+  noteProgress,
+  noteStart,
+  type Stall,
+} from './stall.js';
+
+/** Waiting time that raises a request by one priority class, ms. */
+export const AGE_STEP_MS = 500;
+
+/** Requests that may wait; their buffered bodies take memory. */
+export const MAX_QUEUED = 1_000;
+
+const MEAN_GAIN = 0.1;
+
+/** Limits of one upstream, from the service part of the document. */
+export interface AdmissionConfig {
+  readonly slots: number;
+  readonly connections: number;
+  readonly downloadShare: number;
+  readonly expectedMs: number;
+}
+
+/** Load of an upstream as told to entries. */
+export interface LoadHint {
+  readonly limit: number;
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly cold: boolean;
+  readonly stalled: boolean;
+}
+
+/**
+ * Sign from a running request. `answered`: response headers; `progress`: bytes
+ * of the body; `shed`: not run by the upstream; `abandoned`: deadline passed
+ * or cancelled before an answer; `failed`: connection broken.
+ */
+export type Sign = 'answered' | 'progress' | 'shed' | 'abandoned' | 'failed';
+
+/** One request for a slot. */
+export interface Work<T> {
+  readonly priority: Priority;
+  /** Monotonic time, ms. */
+  readonly deadlineAt: number;
+  /** Requests of one kind share a latency baseline; the route name. */
+  readonly kind?: string;
+  /** Removes the request while it waits; ignored once it runs. */
+  readonly signal?: AbortSignal;
+  /** Asked right before the start; an outcome refuses the request. */
+  readonly mayStart?: () => Outcome | undefined;
+  readonly run: (report: (sign: Sign) => void) => Promise<T>;
+}
+
+/** Result of a submission; work that was not started never ran. */
+export type Admitted<T> =
+  {started: true; value: T} | {started: false; outcome: Outcome | 'cancelled'};
+
+interface Job {
+  readonly kind: string;
+  readonly priority: Priority;
+  readonly deadlineAt: number;
+  /** Lower goes first. */
+  readonly order: number;
+  /** Aborted to take the job out of the queue, never after its start. */
+  readonly leave: AbortController;
+  refusal?: Outcome | 'cancelled';
+  startedAt: number;
+  /** Cold start during which the job was started. */
+  epoch: number;
+  /** True once the job has counted for the limit. */
+  judged: boolean;
+  /** True once its deadline has passed or it was cancelled. */
+  abandoned: boolean;
+}
+
+/** State of admission to one upstream. */
+export interface Admission {
+  config: AdmissionConfig;
+  /** Monotonic clock, ms; queued work starts later than it is submitted. */
+  readonly now: () => number;
+  readonly limit: Limit;
+  readonly queue: PQueue;
+  /** Lets only the share of downloads into the main queue. */
+  readonly downloads: PQueue;
+  readonly waiting: Set<Job>;
+  readonly stall: Stall;
+  /** Mean time that a request holds its slot, ms. */
+  meanMs: {download: number; other: number};
+}
+
+/** Creates the admission to an upstream that has just started. */
+export function createAdmission(
+  config: AdmissionConfig,
+  now: () => number,
+): Admission {
+  return {
+    config,
+    now,
+    limit: createLimit(readCeiling(config), config.expectedMs),
+    queue: new PQueue({concurrency: 1}),
+    downloads: new PQueue({concurrency: 1}),
+    waiting: new Set(),
+    stall: createStall(),
+    meanMs: {download: config.expectedMs, other: config.expectedMs},
+  };
+}
+
+/** Takes over changed limits of the service. */
+export function configureAdmission(
+  admission: Admission,
+  config: AdmissionConfig,
+): void {
+  admission.config = config;
+  admission.limit.expectedMs = config.expectedMs;
+  setCeiling(admission.limit, readCeiling(config));
+  applyLimit(admission);
+}
+
+/** Starts again at the cold limit. */
+export function coolDown(admission: Admission): void {
+  resetToCold(admission.limit);
+  applyLimit(admission);
+}
+
+/** Waits for a slot and runs the work, or refuses it unstarted. */
+export async function submit<T>(
+  admission: Admission,
+  work: Work<T>,
+): Promise<Admitted<T>> {
+  const job = createJob(admission, work);
+  const refusal = judgeArrival(admission, work, job);
+  if (refusal !== undefined) return {started: false, outcome: refusal};
+  const cancel = () => removeJob(admission, job, 'cancelled');
+  work.signal?.addEventListener('abort', cancel);
+  admission.waiting.add(job);
+  try {
+    return await enqueue(admission, job, work);
+  } catch (err) {
+    if (job.refusal === undefined) throw err;
+    return {started: false, outcome: job.refusal};
+  } finally {
+    work.signal?.removeEventListener('abort', cancel);
+  }
+}
+
+/** Refuses all waiting work; running work goes on. */
+export function flushQueue(admission: Admission, outcome: Outcome): void {
+  for (const job of [...admission.waiting]) removeJob(admission, job, outcome);
+}
+
+/** Refuses waiting work past its deadline and looks for a stall. */
+export function tickAdmission(admission: Admission, now: number): void {
+  for (const job of [...admission.waiting]) {
+    if (now >= job.deadlineAt) removeJob(admission, job, 'deadlineBeforeSend');
+  }
+  if (checkStall(admission.stall, now)) coolDown(admission);
+}
+
+/** Reads the load of the upstream. */
+export function readLoad(admission: Admission): LoadHint {
+  return {
+    limit: admission.limit.value,
+    inFlight: admission.stall.inFlight,
+    queued: admission.waiting.size,
+    cold: isCold(admission.limit),
+    stalled: admission.stall.stalled,
+  };
+}
+
+/** Header form of a load hint: limit, inFlight, queued, cold, stalled. */
+export function formatLoad(load: LoadHint): string {
+  const flags = [load.cold, load.stalled].map(Number);
+  return [load.limit, load.inFlight, load.queued, ...flags].join(',');
+}
+
+function readCeiling(config: AdmissionConfig): number {
+  return Math.min(config.slots, config.connections);
+}
+
+function createJob<T>(admission: Admission, work: Work<T>): Job {
+  // Comparing arrival plus a handicap per class at any time gives the same
+  // order as raising each waiting request by one class per AGE_STEP_MS.
+  const handicap = PRIORITIES.indexOf(work.priority) * AGE_STEP_MS;
+  return {
+    kind: work.kind ?? '',
+    priority: work.priority,
+    deadlineAt: work.deadlineAt,
+    order: admission.now() + handicap,
+    leave: new AbortController(),
+    startedAt: 0,
+    epoch: 0,
+    judged: false,
+    abandoned: false,
+  };
+}
+
+function judgeArrival<T>(
+  admission: Admission,
+  work: Work<T>,
+  job: Job,
+): Outcome | 'cancelled' | undefined {
+  if (work.signal?.aborted) return 'cancelled';
+  const remainingMs = work.deadlineAt - admission.now();
+  if (remainingMs <= 0) return 'deadlineBeforeSend';
+  const cold = isCold(admission.limit);
+  if (admission.waiting.size >= MAX_QUEUED) return cold ? 'cold' : 'full';
+  if (expectWaitMs(admission, job) <= remainingMs) return undefined;
+  return cold ? 'cold' : 'deadlineTooShort';
+}
+
+function expectWaitMs(admission: Admission, job: Job): number {
+  const ahead = [...admission.waiting].filter(
+    other => other.order <= job.order,
+  );
+  const waitMs =
+    (ahead.length / admission.limit.value) * admission.meanMs.other;
+  if (job.priority !== 'download') return waitMs;
+  const share = admission.downloads.concurrency;
+  const rivals = ahead.filter(other => other.priority === 'download').length;
+  return Math.max(waitMs, (rivals / share) * admission.meanMs.download);
+}
+
+function enqueue<T>(
+  admission: Admission,
+  job: Job,
+  work: Work<T>,
+): Promise<Admitted<T>> {
+  const {signal} = job.leave;
+  const wait = () =>
+    admission.queue.add(() => runJob(admission, job, work), {
+      priority: -job.order,
+      signal,
+    });
+  if (job.priority !== 'download') return wait();
+  return admission.downloads.add(wait, {signal});
+}
+
+function removeJob(
+  admission: Admission,
+  job: Job,
+  refusal: Outcome | 'cancelled',
+): void {
+  if (!admission.waiting.delete(job)) return;
+  job.refusal = refusal;
+  job.leave.abort();
+}
+
+async function runJob<T>(
+  admission: Admission,
+  job: Job,
+  work: Work<T>,
+): Promise<Admitted<T>> {
+  admission.waiting.delete(job);
+  const now = admission.now();
+  const refusal =
+    now >= job.deadlineAt ? 'deadlineBeforeSend' : work.mayStart?.();
+  if (refusal !== undefined) return {started: false, outcome: refusal};
+  job.startedAt = now;
+  job.epoch = admission.limit.epoch;
+  noteStart(admission.stall, now);
+  try {
+    const value = await work.run(sign => noteSign(admission, job, sign));
+    return {started: true, value};
+  } finally {
+    endJob(admission, job);
+  }
+}
+
+function endJob(admission: Admission, job: Job): void {
+  const now = admission.now();
+  noteEnd(admission.stall, job.abandoned, now);
+  const group = job.priority === 'download' ? 'download' : 'other';
+  const held = now - job.startedAt;
+  admission.meanMs[group] += MEAN_GAIN * (held - admission.meanMs[group]);
+}
+
+function noteSign(admission: Admission, job: Job, sign: Sign): void {
+  const now = admission.now();
+  // A request that ended without an answer is no sign of progress, otherwise
+  // deadlines shorter than STALL_MS would hide every stall.
+  if (sign === 'abandoned') job.abandoned = true;
+  else noteProgress(admission.stall, now);
+  if (sign === 'progress' || job.judged) return;
+  job.judged = true;
+  if (job.epoch !== admission.limit.epoch) return;
+  const {limit} = admission;
+  const ms = now - job.startedAt;
+  if (sign === 'answered') {
+    noteAnswer(limit, job.kind, ms, admission.stall.inFlight);
+  } else if (sign !== 'abandoned' || isSlow(limit, job.kind, ms)) {
+    noteFault(limit);
+  }
+  applyLimit(admission);
+}
+
+function applyLimit(admission: Admission): void {
+  const {value} = admission.limit;
+  const share = Math.floor(value * admission.config.downloadShare);
+  admission.downloads.concurrency = Math.max(1, share);
+  admission.queue.concurrency = value;
+}
--- /dev/null
+++ b/src/core/limits.ts
@@ -0,0 +1,133 @@
+/** Limit of an upstream that has just started or turned cold. */
+export const COLD_LIMIT = 1;
+
+/** Factor applied to the limit on a shed, a timeout or a slow answer. */
+export const SHRINK_FACTOR = 0.7;
+
+/** An answer is slow above this multiple of the baseline. */
+export const SLOW_FACTOR = 3;
+
+/** Faults in a row after which the upstream counts as cold. */
+export const COLD_AFTER = 3;
+
+/** Latencies below this are never slow: scheduling jitter reaches it, ms. */
+export const SLOW_FLOOR_MS = 10;
+
+/** Good answers after which an upstream with little load counts as warm. */
+export const WARM_ANSWERS = 20;
+
+// Slow answers move the baseline ten times less than others. A cold spell
+// then stays recognisable for about 50 answers, while an `expectedMs` that is
+// set too low is still corrected after about 100.
+const BASELINE_GAIN = 0.05;
+const SLOW_GAIN = 0.005;
+const MAX_BASELINES = 256;
+
+/** Adaptive limit on the requests in flight at one upstream. */
+export interface Limit {
+  /** Hard limit: the smaller of slots and connections. */
+  ceiling: number;
+  /** Whole number from `COLD_LIMIT` to `ceiling`. */
+  value: number;
+  /** Good answers since the last step. */
+  successes: number;
+  faultsInRow: number;
+  /** Good answers since the last cold start. */
+  answers: number;
+  /** Number of cold starts; results of requests from earlier ones are void. */
+  epoch: number;
+  /** Baseline of kinds without answers so far, ms. */
+  expectedMs: number;
+  /** Mean time to the response headers by kind of request, ms. */
+  readonly baselines: Map<string, number>;
+}
+
+/** Creates the limit of an upstream that has just started. */
+export function createLimit(ceiling: number, expectedMs: number): Limit {
+  return {
+    ceiling,
+    value: COLD_LIMIT,
+    successes: 0,
+    faultsInRow: 0,
+    answers: 0,
+    epoch: 0,
+    expectedMs,
+    baselines: new Map(),
+  };
+}
+
+/** Changes the hard limit; the limit in force never rises by this. */
+export function setCeiling(limit: Limit, ceiling: number): void {
+  limit.ceiling = ceiling;
+  limit.value = Math.min(limit.value, ceiling);
+}
+
+/** Starts again at `COLD_LIMIT`; baselines stay. */
+export function resetToCold(limit: Limit): void {
+  limit.value = COLD_LIMIT;
+  limit.successes = 0;
+  limit.faultsInRow = 0;
+  limit.answers = 0;
+  limit.epoch++;
+}
+
+/** True until half of the ceiling or `WARM_ANSWERS` has been reached. */
+export function isCold(limit: Limit): boolean {
+  return limit.value * 2 < limit.ceiling && limit.answers < WARM_ANSWERS;
+}
+
+/** Says whether a time without an answer, or to its headers, is too long. */
+export function isSlow(limit: Limit, kind: string, ms: number): boolean {
+  const baseline = limit.baselines.get(kind) ?? limit.expectedMs;
+  return ms > Math.max(SLOW_FLOOR_MS, SLOW_FACTOR * baseline);
+}
+
+/** Counts an answer with its time to the headers, ms. */
+export function noteAnswer(
+  limit: Limit,
+  kind: string,
+  ms: number,
+  inFlight: number,
+): void {
+  const slow = isSlow(limit, kind, ms);
+  moveBaseline(limit, kind, ms, slow);
+  if (slow) noteFault(limit);
+  else noteSuccess(limit, inFlight);
+}
+
+/** Counts a shed, a timeout or a broken connection. */
+export function noteFault(limit: Limit): void {
+  limit.successes = 0;
+  limit.faultsInRow++;
+  if (limit.faultsInRow >= COLD_AFTER) {
+    resetToCold(limit);
+    return;
+  }
+  const shrunk = Math.floor(limit.value * SHRINK_FACTOR);
+  limit.value = Math.max(COLD_LIMIT, shrunk);
+}
+
+function noteSuccess(limit: Limit, inFlight: number): void {
+  limit.faultsInRow = 0;
+  limit.answers++;
+  // Answers at a small part of the limit say nothing about a higher one.
+  if (inFlight * 2 < limit.value) return;
+  limit.successes++;
+  if (limit.successes < limit.value) return;
+  limit.successes = 0;
+  limit.value = Math.min(limit.ceiling, limit.value + 1);
+}
+
+function moveBaseline(
+  limit: Limit,
+  kind: string,
+  ms: number,
+  slow: boolean,
+): void {
+  const known = limit.baselines.get(kind);
+  if (known === undefined && limit.baselines.size >= MAX_BASELINES) return;
+  const baseline = known ?? limit.expectedMs;
+  const sample = Math.min(ms, SLOW_FACTOR * baseline);
+  const gain = slow ? SLOW_GAIN : BASELINE_GAIN;
+  limit.baselines.set(kind, baseline + gain * (sample - baseline));
+}
--- /dev/null
+++ b/src/daemon/forward.ts
@@ -0,0 +1,181 @@
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import {
+  FORWARD_PREFIX,
+  HEADERS,
+  parseKey,
+  PRIORITIES,
+  verify,
+  type BoundKey,
+  type Outcome,
+  type Priority,
+} from '../internal.js';
+import {readHeader} from './http.js';
+import type {AnswerHeaders} from './upstream.js';
+
+/** Largest number of hops of a chain of calls. */
+export const MAX_DEPTH = 6;
+
+const MAX_DEADLINE_MS = 3_600_000;
+const MAX_BUDGET = 16;
+const ID_PATTERN = /^[\w.:~-]{1,128}$/;
+const FINGERPRINT_PATTERN = /^[0-9a-f]{16,64}$/;
+
+// Headers of one connection, which must not pass to the next one.
+const HOP_HEADERS = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Checked head of a forwarded request. */
+export interface Forward {
+  readonly id: string;
+  /** Path and query for the upstream. */
+  readonly path: string;
+  readonly method: string;
+  readonly route: string;
+  readonly priority: Priority;
+  /** Remaining time at arrival, ms. */
+  readonly deadlineMs: number;
+  readonly depth: number;
+  readonly budget: number;
+  /** Configuration version of the entry; 0 when not told. */
+  readonly version: number;
+  readonly fingerprint: string;
+  readonly key?: BoundKey;
+}
+
+/** Result of reading a forwarded request. */
+export type ForwardResult =
+  {ok: true; forward: Forward} | {ok: false; id: string; outcome: Outcome};
+
+/** Reads and authenticates the head of a forwarded request. */
+export function parseForward(
+  req: IncomingMessage,
+  peerKey: string,
+): ForwardResult {
+  const id = readHeader(req, HEADERS.id) ?? '';
+  if (!ID_PATTERN.test(id)) return refuse('unknown', 'badRequest');
+  if (!isAuthentic(req, peerKey, id)) return refuse(id, 'badRequest');
+  const numbers = readNumbers(req);
+  const path = readPath(req.url ?? '');
+  const priority = readPriority(req);
+  const fingerprint = readHeader(req, HEADERS.fingerprint) ?? '';
+  const sane = numbers && path !== undefined && priority !== undefined;
+  if (!sane || !FINGERPRINT_PATTERN.test(fingerprint)) {
+    return refuse(id, 'badRequest');
+  }
+  if (numbers.depth > MAX_DEPTH) return refuse(id, 'tooDeep');
+  if (numbers.deadlineMs <= 0) return refuse(id, 'deadlineBeforeSend');
+  const keyText = readHeader(req, HEADERS.key);
+  const key = keyText === undefined ? undefined : parseKey(peerKey, keyText);
+  if (keyText !== undefined && !key) return refuse(id, 'badKey');
+  const method = req.method ?? 'GET';
+  const route = readHeader(req, HEADERS.route) ?? '';
+  const rest = {path, method, route, priority, fingerprint};
+  return {ok: true, forward: {id, ...rest, ...numbers, ...(key && {key})}};
+}
+
+/** Headers of the request to the upstream; the rest of the chain is told. */
+export function buildUpstreamHeaders(
+  headers: IncomingHttpHeaders,
+  forward: Forward,
+  remainingMs: number,
+): Record<string, string | string[]> {
+  const kept = pickEndToEnd(headers);
+  // The client states the length of the body that it sends.
+  delete kept['content-length'];
+  return {
+    ...kept,
+    [HEADERS.id]: forward.id,
+    [HEADERS.deadlineMs]: String(Math.max(1, Math.floor(remainingMs))),
+    [HEADERS.depth]: String(forward.depth + 1),
+    [HEADERS.budget]: String(forward.budget),
+  };
+}
+
+/** Keeps the headers that pass on, without those between daemons. */
+export function pickEndToEnd(
+  headers: AnswerHeaders,
+): Record<string, string | string[]> {
+  const named = String(headers.connection ?? '')
+    .toLowerCase()
+    .split(',')
+    .map(name => name.trim());
+  const kept: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    const dropped =
+      HOP_HEADERS.has(name) ||
+      named.includes(name) ||
+      name.startsWith('berylbend-');
+    if (!dropped && value !== undefined) kept[name] = value;
+  }
+  return kept;
+}
+
+function refuse(id: string, outcome: Outcome): ForwardResult {
+  return {ok: false, id, outcome};
+}
+
+function isAuthentic(
+  req: IncomingMessage,
+  peerKey: string,
+  id: string,
+): boolean {
+  const text = (name: string) => readHeader(req, name) ?? '';
+  return verify(
+    peerKey,
+    readHeader(req, HEADERS.auth),
+    id,
+    text(HEADERS.route),
+    text(HEADERS.fingerprint),
+    text(HEADERS.key),
+    text(HEADERS.deadlineMs),
+  );
+}
+
+function readNumbers(
+  req: IncomingMessage,
+): Pick<Forward, 'deadlineMs' | 'depth' | 'budget' | 'version'> | undefined {
+  const deadlineMs = readNumber(req, HEADERS.deadlineMs, MAX_DEADLINE_MS);
+  const depth = readNumber(req, HEADERS.depth, 1_000, 0);
+  const budget = readNumber(req, HEADERS.budget, MAX_BUDGET, 0);
+  const version = readNumber(req, HEADERS.version, Number.MAX_SAFE_INTEGER, 0);
+  if (deadlineMs === undefined || depth === undefined) return undefined;
+  if (budget === undefined || version === undefined) return undefined;
+  return {deadlineMs, depth, budget, version};
+}
+
+/** Undefined when malformed or too large, or absent without a default. */
+function readNumber(
+  req: IncomingMessage,
+  name: string,
+  max: number,
+  absent?: number,
+): number | undefined {
+  if (req.headers[name] === undefined) return absent;
+  const text = readHeader(req, name) ?? '';
+  if (!/^\d{1,16}(\.\d{1,6})?$/.test(text)) return undefined;
+  const value = Number(text);
+  return value <= max ? value : undefined;
+}
+
+function readPriority(req: IncomingMessage): Priority | undefined {
+  if (req.headers[HEADERS.priority] === undefined) return 'read';
+  const text = readHeader(req, HEADERS.priority);
+  return PRIORITIES.find(priority => priority === text);
+}
+
+function readPath(url: string): string | undefined {
+  if (!url.startsWith(FORWARD_PREFIX)) return undefined;
+  const path = url.slice(FORWARD_PREFIX.length);
+  return path.startsWith('/') ? path : undefined;
+}
--- /dev/null
+++ b/src/daemon/health.ts
@@ -0,0 +1,91 @@
+import {computeBackoff, type Random} from '../internal.js';
+import type {Upstream} from './upstream.js';
+
+/** First and longest pause between probes of an upstream that is down, ms. */
+export const PROBE_MS = {first: 200, longest: 2_000};
+
+// An upstream that stops may close its connections just before its listening
+// socket, so the requests broken shortly before the refusal count as well.
+const BROKEN_KEPT_MS = 1_000;
+
+/** What the owner gives to the health watch. */
+export interface HealthDeps {
+  readonly upstream: Upstream;
+  readonly random: Random;
+  /** Monotonic clock, ms. */
+  readonly now: () => number;
+  /** Called with the fingerprints that were in flight; empty if none was. */
+  readonly onDown: (fingerprints: string[]) => void;
+  readonly onUp: () => void;
+}
+
+/** Knows whether the upstream accepts connections and what ran at a crash. */
+export interface Health {
+  isDown(): boolean;
+  /** Counts a request as in flight; returns the function that ends that. */
+  enter(fingerprint: string): () => void;
+  /** After a failed exchange: true if the upstream refuses connections. */
+  checkCrash(brokenFingerprint?: string): Promise<boolean>;
+  stop(): void;
+}
+
+/** Creates the watch of an upstream that is taken to be up. */
+export function createHealth(deps: HealthDeps): Health {
+  const {upstream, random, now} = deps;
+  const inFlight = new Set<{fingerprint: string}>();
+  let broken: Array<{fingerprint: string; at: number}> = [];
+  let down = false;
+  let stopped = false;
+  let check: Promise<boolean> | undefined;
+  let timer: NodeJS.Timeout | undefined;
+
+  const scheduleProbe = (attempt: number) => {
+    if (stopped) return;
+    const {first, longest} = PROBE_MS;
+    const pause = first + computeBackoff(attempt, first, longest, random);
+    timer = setTimeout(() => void runProbe(attempt), Math.min(pause, longest));
+  };
+  const runProbe = async (attempt: number) => {
+    const answered = await upstream.probe();
+    if (stopped) return;
+    if (!answered) return scheduleProbe(attempt + 1);
+    down = false;
+    broken = [];
+    deps.onUp();
+  };
+  const runCheck = async () => {
+    const suspects = [...inFlight].map(item => item.fingerprint);
+    const refused = await upstream.isRefusing();
+    check = undefined;
+    if (!refused || down) return refused;
+    down = true;
+    const recent = broken.filter(item => now() - item.at < BROKEN_KEPT_MS);
+    suspects.push(...recent.map(item => item.fingerprint));
+    deps.onDown([...new Set(suspects)]);
+    scheduleProbe(0);
+    return true;
+  };
+
+  return {
+    isDown: () => down,
+    enter(fingerprint) {
+      const item = {fingerprint};
+      inFlight.add(item);
+      return () => inFlight.delete(item);
+    },
+    checkCrash(brokenFingerprint) {
+      if (brokenFingerprint !== undefined) {
+        broken = broken.filter(item => now() - item.at < BROKEN_KEPT_MS);
+        broken.push({fingerprint: brokenFingerprint, at: now()});
+      }
+      // A check that began before this request broke covers it too: the
+      // request was in the set that the check copied, or is in `broken`.
+      check ??= runCheck();
+      return check;
+    },
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/src/daemon/owner.ts
@@ -0,0 +1,242 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  beginKey,
+  count,
+  dropKey,
+  finishKey,
+  readLoad,
+  type BoundKey,
+  type KeyRecord,
+  type LoadHint,
+  type Outcome,
+} from '../internal.js';
+import {parseForward, type Forward} from './forward.js';
+import {MAX_BODY_BYTES, readBody} from './http.js';
+import {
+  isPastDeadline,
+  refuseCall,
+  runCall,
+  sendRecorded,
+  type Call,
+  type Ending,
+} from './owner_call.js';
+import {
+  createOwnerState,
+  isReady,
+  judgeArrival,
+  judgeStart,
+  syncConfig,
+  tickOwner,
+  type OwnerDeps,
+  type OwnerState,
+} from './owner_state.js';
+
+export type {OwnerDeps} from './owner_state.js';
+
+/** Total of request bodies that wait or run, bytes: a quarter of the memory. */
+export const MAX_BUFFERED_BYTES = 33_554_432;
+
+/** Handler of `/forward` requests on the peer port. */
+export interface Owner {
+  (req: IncomingMessage, res: ServerResponse): void;
+  /** To be called every `TICK_MS`. */
+  tick(now: number): void;
+  readLoad(): LoadHint;
+  /** False while the upstream is down or stalled, or the owner stops. */
+  isReady(): boolean;
+  /** Refuses new work as `leaving`; resolves when all accepted work is over. */
+  stop(): Promise<void>;
+}
+
+/** Creates the owner of the upstream beside the daemon. */
+export function createOwner(deps: OwnerDeps): Owner {
+  const owner = createOwnerState(deps);
+  const handle = (req: IncomingMessage, res: ServerResponse) => {
+    serveForward(owner, req, res).catch(() => {
+      count(deps.board, 'forward_errors');
+      // It is unknown how far the request got; a broken connection says so.
+      res.destroy();
+    });
+  };
+  return Object.assign(handle, {
+    tick: (now: number) => tickOwner(owner, now),
+    readLoad: () => readLoad(owner.admission),
+    isReady: () => isReady(owner),
+    stop: () => (owner.stopped ??= stopOwner(owner)),
+  });
+}
+
+async function stopOwner(owner: OwnerState): Promise<void> {
+  owner.stopping = true;
+  // Every call has a deadline timer, so this ends by the last deadline.
+  while (owner.active.size > 0) {
+    await new Promise<void>(resolve => (owner.onIdle = resolve));
+  }
+  owner.health.stop();
+  await owner.upstream.close();
+}
+
+async function serveForward(
+  owner: OwnerState,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const head = parseForward(req, owner.deps.peerKey);
+  if (!head.ok) {
+    refuseCall(owner, res, head.id, head.outcome);
+    return;
+  }
+  syncConfig(owner);
+  const call = openCall(owner, req, res, head.forward);
+  const body = await receiveBody(owner, call);
+  if (!body) return;
+  const {key} = call.forward;
+  if (key) await serveKeyed(owner, call, key, body);
+  else concludeCall(owner, call, await startCall(owner, call, body));
+}
+
+function openCall(
+  owner: OwnerState,
+  req: IncomingMessage,
+  res: ServerResponse,
+  forward: Forward,
+): Call {
+  const abort = new AbortController();
+  const deadlineAt = owner.now() + forward.deadlineMs;
+  const call: Call = {req, res, forward, deadlineAt, abort};
+  owner.active.add(call);
+  const timer = setTimeout(() => abort.abort('deadline'), forward.deadlineMs);
+  res.once('close', () => {
+    owner.active.delete(call);
+    if (owner.active.size === 0) owner.onIdle?.();
+    // Repeats of the key that wait for this run still want its answer; its
+    // deadline stays in force.
+    if (!res.writableFinished && call.record && call.record.waiters > 0) return;
+    clearTimeout(timer);
+    if (!res.writableFinished) abort.abort('cancelled');
+  });
+  return call;
+}
+
+async function receiveBody(
+  owner: OwnerState,
+  call: Call,
+): Promise<Buffer | undefined> {
+  const {req, res, forward, abort} = call;
+  const declared = declareBytes(req);
+  const refuse = (outcome: Outcome) => {
+    refuseCall(owner, res, forward.id, outcome);
+    // The rest of the body is not read.
+    res.once('finish', () => req.destroy());
+  };
+  if (declared > MAX_BODY_BYTES) return void refuse('tooLarge');
+  if (owner.bufferedBytes + declared > MAX_BUFFERED_BYTES) {
+    return void refuse('full');
+  }
+  owner.bufferedBytes += declared;
+  res.once('close', () => (owner.bufferedBytes -= declared));
+  const late = () => isPastDeadline(call) && refuse('deadlineBeforeSend');
+  abort.signal.addEventListener('abort', late);
+  try {
+    return await readBody(req);
+  } catch {
+    // The entry went away before the request was complete.
+    return undefined;
+  } finally {
+    abort.signal.removeEventListener('abort', late);
+  }
+}
+
+function declareBytes(req: IncomingMessage): number {
+  if (req.headers['transfer-encoding'] !== undefined) return MAX_BODY_BYTES;
+  return Number(req.headers['content-length'] ?? 0);
+}
+
+async function serveKeyed(
+  owner: OwnerState,
+  call: Call,
+  key: BoundKey,
+  body: Buffer,
+): Promise<void> {
+  const {forward, res} = call;
+  for (;;) {
+    const wallMs = owner.keyClock();
+    const {self} = owner.board;
+    const decision = beginKey(
+      owner.keys,
+      key,
+      self,
+      wallMs,
+      forward.fingerprint,
+    );
+    switch (decision.kind) {
+      case 'refused':
+        return refuseCall(owner, res, forward.id, decision.outcome);
+      case 'recorded':
+        return sendRecorded(owner, call, decision.result);
+      case 'start':
+        call.record = decision.record;
+        return runKeyed(owner, call, key, body);
+      case 'join':
+        if (await joinRun(owner, call, decision.record)) return;
+      // The run was refused before it started: this repeat may start it.
+    }
+  }
+}
+
+async function runKeyed(
+  owner: OwnerState,
+  call: Call,
+  key: BoundKey,
+  body: Buffer,
+): Promise<void> {
+  let ending: Ending = {kind: 'unknown', outcome: 'connectionBroken'};
+  try {
+    ending = await startCall(owner, call, body);
+  } finally {
+    if (ending.kind === 'refused') dropKey(owner.keys, key);
+    else if (ending.kind === 'answered') {
+      finishKey(owner.keys, key, ending.result);
+    } else finishKey(owner.keys, key, {kind: 'mayHaveRun'});
+  }
+  concludeCall(owner, call, ending);
+}
+
+/** Waits for a run in progress; false if it turned out not to have run. */
+async function joinRun(
+  owner: OwnerState,
+  call: Call,
+  record: KeyRecord,
+): Promise<boolean> {
+  const {signal} = call.abort;
+  record.waiters++;
+  count(owner.board, 'forward_key_joins');
+  const gone = new Promise<'gone'>(resolve => {
+    if (signal.aborted) resolve('gone');
+    signal.addEventListener('abort', () => resolve('gone'));
+  });
+  const result = await Promise.race([record.done, gone]);
+  record.waiters--;
+  if (result === undefined) return false;
+  if (result !== 'gone') sendRecorded(owner, call, result);
+  else if (isPastDeadline(call)) {
+    refuseCall(owner, call.res, call.forward.id, 'deadlineAfterSend');
+  }
+  return true;
+}
+
+async function startCall(
+  owner: OwnerState,
+  call: Call,
+  body: Buffer,
+): Promise<Ending> {
+  const outcome = judgeArrival(owner, call.forward);
+  if (outcome) return {kind: 'refused', outcome};
+  return runCall(owner, call, body, () => judgeStart(owner, call.forward));
+}
+
+function concludeCall(owner: OwnerState, call: Call, ending: Ending): void {
+  if (ending.kind === 'answered') return;
+  if (ending.outcome === 'cancelled') call.res.destroy();
+  else refuseCall(owner, call.res, call.forward.id, ending.outcome);
+}
--- /dev/null
+++ b/src/daemon/owner_call.ts
@@ -0,0 +1,293 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  count,
+  formatLoad,
+  formatReason,
+  HEADERS,
+  MAX_RECORDED_BYTES,
+  readLoad,
+  submit,
+  VERDICT_HEADER_VALUES,
+  type Admission,
+  type Board,
+  type KeyRecord,
+  type KeyResult,
+  type Outcome,
+  type RecordedAnswer,
+  type Sign,
+} from '../internal.js';
+import {buildUpstreamHeaders, pickEndToEnd, type Forward} from './forward.js';
+import type {Health} from './health.js';
+import {sendRefusal} from './http.js';
+import type {
+  AnswerHeaders,
+  AnswerSink,
+  Exchange,
+  Upstream,
+} from './upstream.js';
+
+/** What a call needs from its owner. */
+export interface CallContext {
+  readonly board: Board;
+  readonly admission: Admission;
+  readonly health: Health;
+  readonly upstream: Upstream;
+  readonly now: () => number;
+}
+
+/** One forwarded request from its arrival to the end of its answer. */
+export interface Call {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly forward: Forward;
+  /** Monotonic time, ms. */
+  readonly deadlineAt: number;
+  /** Aborted with 'deadline' or 'cancelled'. */
+  readonly abort: AbortController;
+  /** Own record when the call runs a key. */
+  record?: KeyRecord;
+}
+
+/** How a call ended at the upstream; an answer has been streamed already. */
+export type Ending =
+  | {kind: 'refused'; outcome: Outcome | 'cancelled'}
+  | {kind: 'unknown'; outcome: Outcome | 'cancelled'}
+  | {kind: 'answered'; result: KeyResult};
+
+/** Headers of the owner on every reply. */
+export function ownHeaders(ctx: CallContext): Record<string, string> {
+  return {
+    [HEADERS.load]: formatLoad(readLoad(ctx.admission)),
+    [HEADERS.boot]: ctx.board.self.boot,
+  };
+}
+
+/** Answers with a refusal and counts it. */
+export function refuseCall(
+  ctx: CallContext,
+  res: ServerResponse,
+  id: string,
+  outcome: Outcome,
+): void {
+  count(ctx.board, `forward_refused_${outcome}`);
+  if (!res.destroyed) sendRefusal(res, outcome, id, ownHeaders(ctx));
+}
+
+/** Answers a repeat of a key with what is known of its only run. */
+export function sendRecorded(
+  ctx: CallContext,
+  call: Call,
+  result: KeyResult,
+): void {
+  const {res, forward} = call;
+  count(ctx.board, 'forward_key_repeats');
+  if (result.kind === 'mayHaveRun') {
+    refuseCall(ctx, res, forward.id, 'keyMayHaveRun');
+    return;
+  }
+  const answer = result.kind === 'answer' ? result.answer : tooLargeAnswer();
+  res.writeHead(answer.status, {
+    ...answer.headers,
+    ...answeredHeaders(ctx, forward),
+  });
+  res.end(answer.body);
+}
+
+/** Gets a slot and sends the call to the upstream, once. */
+export async function runCall(
+  ctx: CallContext,
+  call: Call,
+  body: Buffer,
+  mayStart: () => Outcome | undefined,
+): Promise<Ending> {
+  const {forward, deadlineAt, abort} = call;
+  const admitted = await submit(ctx.admission, {
+    priority: forward.priority,
+    kind: forward.route,
+    deadlineAt,
+    signal: abort.signal,
+    mayStart,
+    run: report => sendCall(ctx, call, body, report),
+  });
+  if (admitted.started) return admitted.value;
+  const {outcome} = admitted;
+  const late = outcome === 'cancelled' && isPastDeadline(call);
+  return {kind: 'refused', outcome: late ? 'deadlineBeforeSend' : outcome};
+}
+
+/** True when the deadline ended the call, false when it was cancelled. */
+export function isPastDeadline(call: Call): boolean {
+  return call.abort.signal.reason === 'deadline';
+}
+
+function answeredHeaders(
+  ctx: CallContext,
+  forward: Forward,
+): Record<string, string> {
+  return {
+    [HEADERS.id]: forward.id,
+    [HEADERS.verdict]: VERDICT_HEADER_VALUES.ran,
+    [HEADERS.reason]: formatReason('answered'),
+    ...ownHeaders(ctx),
+  };
+}
+
+function tooLargeAnswer(): RecordedAnswer {
+  const body = Buffer.from('{"error":"answer-not-recorded","verdict":"ran"}');
+  return {status: 409, headers: {'content-type': 'application/json'}, body};
+}
+
+async function sendCall(
+  ctx: CallContext,
+  call: Call,
+  body: Buffer,
+  report: (sign: Sign) => void,
+): Promise<Ending> {
+  const {forward, req, abort} = call;
+  const remainingMs = call.deadlineAt - ctx.now();
+  const request = {
+    method: forward.method,
+    path: forward.path,
+    headers: buildUpstreamHeaders(req.headers, forward, remainingMs),
+    body,
+  };
+  const leave = ctx.health.enter(forward.fingerprint);
+  const reply = createReply(ctx, call, report);
+  try {
+    const exchange = await ctx.upstream.send(request, reply.sink, abort.signal);
+    return await concludeExchange(ctx, call, reply, exchange, report);
+  } finally {
+    leave();
+  }
+}
+
+interface Reply {
+  readonly sink: AnswerSink;
+  status: number;
+  shed: boolean;
+  /** False when only the end of the connection marks the end of the body. */
+  framed: boolean;
+  headers: AnswerHeaders;
+  /** Body so far; undefined when too large to record. */
+  recorded?: Buffer[];
+}
+
+function createReply(
+  ctx: CallContext,
+  call: Call,
+  report: (sign: Sign) => void,
+): Reply {
+  const {res, forward} = call;
+  let resumePaused = () => {};
+  const resume = () => resumePaused();
+  res.on('drain', resume);
+  // Repeats may wait for the rest after this customer has gone.
+  res.once('close', resume);
+  const reply: Reply = {
+    status: 0,
+    shed: false,
+    framed: true,
+    headers: {},
+    recorded: call.forward.key && [],
+    sink: {
+      onHead(status, headers) {
+        reply.shed = status === 503 && headers[HEADERS.shed] === 'not-run';
+        reply.status = status;
+        reply.framed = isFramed(forward.method, status, headers);
+        reply.headers = pickEndToEnd(headers);
+        report(reply.shed ? 'shed' : 'answered');
+        if (reply.shed || res.destroyed) return;
+        const own = answeredHeaders(ctx, forward);
+        res.writeHead(status, {...reply.headers, ...own});
+      },
+      onData(chunk, resumeUpstream) {
+        if (reply.shed) return true;
+        report('progress');
+        recordChunk(reply, chunk);
+        if (res.destroyed || res.write(chunk)) return true;
+        resumePaused = resumeUpstream;
+        return false;
+      },
+    },
+  };
+  return reply;
+}
+
+function isFramed(
+  method: string,
+  status: number,
+  headers: AnswerHeaders,
+): boolean {
+  const bodiless = method === 'HEAD' || status === 204 || status === 304;
+  const {'content-length': length, 'transfer-encoding': coding} = headers;
+  return bodiless || length !== undefined || coding !== undefined;
+}
+
+function recordChunk(reply: Reply, chunk: Buffer): void {
+  if (!reply.recorded) return;
+  reply.recorded.push(chunk);
+  const size = reply.recorded.reduce((sum, part) => sum + part.length, 0);
+  if (size > MAX_RECORDED_BYTES) reply.recorded = undefined;
+}
+
+async function concludeExchange(
+  ctx: CallContext,
+  call: Call,
+  reply: Reply,
+  exchange: Exchange,
+  report: (sign: Sign) => void,
+): Promise<Ending> {
+  if (!exchange.complete) {
+    report(exchange.aborted ? 'abandoned' : 'failed');
+    return exchange.aborted
+      ? concludeAbort(call, exchange.written)
+      : concludeFailure(ctx, call, exchange);
+  }
+  if (reply.shed) return {kind: 'refused', outcome: 'shed'};
+  // The end of the connection is also what a crash looks like.
+  if (!reply.framed && (await ctx.health.checkCrash())) {
+    return {kind: 'unknown', outcome: 'upstreamCrashed'};
+  }
+  call.res.end();
+  return {kind: 'answered', result: toResult(reply)};
+}
+
+function concludeAbort(call: Call, written: boolean): Ending {
+  const late = isPastDeadline(call);
+  if (!written) {
+    return {
+      kind: 'refused',
+      outcome: late ? 'deadlineBeforeSend' : 'cancelled',
+    };
+  }
+  return {kind: 'unknown', outcome: late ? 'deadlineAfterSend' : 'cancelled'};
+}
+
+async function concludeFailure(
+  ctx: CallContext,
+  call: Call,
+  exchange: Extract<Exchange, {complete: false}>,
+): Promise<Ending> {
+  if (exchange.code === 'UND_ERR_INVALID_ARG' && !exchange.written) {
+    return {kind: 'refused', outcome: 'badRequest'};
+  }
+  const {written} = exchange;
+  const crashed = await ctx.health.checkCrash(
+    written ? call.forward.fingerprint : undefined,
+  );
+  if (!written) {
+    return {
+      kind: 'refused',
+      outcome: crashed ? 'upstreamDown' : 'connectFailed',
+    };
+  }
+  const outcome = crashed ? 'upstreamCrashed' : 'connectionBroken';
+  return {kind: 'unknown', outcome};
+}
+
+function toResult(reply: Reply): KeyResult {
+  const {status, headers, recorded} = reply;
+  if (!recorded) return {kind: 'ran', status};
+  const answer = {status, headers, body: Buffer.concat(recorded)};
+  return {kind: 'answer', answer};
+}
--- /dev/null
+++ b/src/daemon/owner_state.ts
@@ -0,0 +1,189 @@
+import {
+  configureAdmission,
+  coolDown,
+  count,
+  createAdmission,
+  createKeyClock,
+  createKeyTable,
+  flushQueue,
+  isKeyExpired,
+  recordEvent,
+  sweepKeys,
+  tickAdmission,
+  type Admission,
+  type Board,
+  type KeyTable,
+  type Outcome,
+  type ServiceConfig,
+  type Version,
+} from '../internal.js';
+import type {Forward} from './forward.js';
+import {createHealth} from './health.js';
+import type {Call, CallContext} from './owner_call.js';
+import type {Upstream} from './upstream.js';
+
+/** Time that queued work may still start after its data centre is out, ms. */
+export const OUT_GRACE_MS = 2_000;
+
+const KEY_SWEEP_MS = 10_000;
+
+/** What the daemon gives to the owner. */
+export interface OwnerDeps {
+  readonly board: Board;
+  /** Shared key of the peers; also signs bound keys. */
+  readonly peerKey: string;
+  /** Client of the upstream; the owner closes it when it stops. */
+  readonly upstream: Upstream;
+  /** Gets the fingerprints in flight when the upstream crashed. */
+  readonly reportCrash: (fingerprints: string[]) => void;
+  /** Monotonic clock, ms. */
+  readonly now: () => number;
+  /** Wall time at start, ms; key expiry counts from it. */
+  readonly wallAtStart: number;
+}
+
+/** State of the owner of one upstream. */
+export interface OwnerState extends CallContext {
+  readonly deps: OwnerDeps;
+  readonly keys: KeyTable;
+  readonly keyClock: () => number;
+  readonly active: Set<Call>;
+  /** Version whose limits are in force here. */
+  version?: Version;
+  service?: ServiceConfig;
+  /** Monotonic time since which the data centre is out, ms. */
+  outSince?: number;
+  bufferedBytes: number;
+  stopping: boolean;
+  onIdle?: () => void;
+  /** Set by the first call of `stop`. */
+  stopped?: Promise<void>;
+  /** Values of the previous tick, for events on changes. */
+  seen: {epoch: number; stalled: boolean; sweptAt: number};
+}
+
+/** Creates the state of an owner without requests. */
+export function createOwnerState(deps: OwnerDeps): OwnerState {
+  const {board, now, upstream} = deps;
+  const start = {slots: 1, connections: 1, downloadShare: 0.5, expectedMs: 50};
+  const admission = createAdmission(start, now);
+  const health = createHealth({
+    upstream,
+    random: board.random,
+    now,
+    onDown: fingerprints => noteDown(deps, admission, fingerprints),
+    onUp: () => recordEvent(board.timeline, 'upstreamUp', {}, now()),
+  });
+  return {
+    deps,
+    board,
+    now,
+    upstream,
+    admission,
+    health,
+    keys: createKeyTable(),
+    keyClock: createKeyClock(deps.wallAtStart, now),
+    active: new Set(),
+    bufferedBytes: 0,
+    stopping: false,
+    seen: {epoch: 0, stalled: false, sweptAt: now()},
+  };
+}
+
+function noteDown(
+  deps: OwnerDeps,
+  admission: Admission,
+  fingerprints: string[],
+): void {
+  const {board, now} = deps;
+  const crashed = fingerprints.length > 0;
+  const detail = {inFlight: fingerprints.length};
+  const kind = crashed ? 'upstreamCrashed' : 'upstreamDown';
+  recordEvent(board.timeline, kind, detail, now());
+  count(board, crashed ? 'upstream_crashes' : 'upstream_downs');
+  coolDown(admission);
+  flushQueue(admission, 'upstreamDown');
+  if (crashed) deps.reportCrash(fingerprints);
+}
+
+/** Sweeps, looks for a stall and records changes; runs on every tick. */
+export function tickOwner(owner: OwnerState, now: number): void {
+  const {admission, board, seen} = owner;
+  syncConfig(owner);
+  tickAdmission(admission, now);
+  if (now - seen.sweptAt >= KEY_SWEEP_MS) {
+    seen.sweptAt = now;
+    sweepKeys(owner.keys, owner.keyClock());
+  }
+  const {epoch} = admission.limit;
+  if (epoch !== seen.epoch) {
+    count(board, 'upstream_cold_starts', epoch - seen.epoch);
+    recordEvent(board.timeline, 'upstreamCold', {}, now);
+  }
+  const {stalled, inFlight} = admission.stall;
+  if (stalled && !seen.stalled) {
+    count(board, 'upstream_stalls');
+    recordEvent(board.timeline, 'upstreamStalled', {inFlight}, now);
+  }
+  Object.assign(seen, {epoch, stalled});
+}
+
+/** False while the upstream is down or stalled, or the owner stops. */
+export function isReady(owner: OwnerState): boolean {
+  const {admission, health, stopping} = owner;
+  return !admission.stall.stalled && !health.isDown() && !stopping;
+}
+
+/** Takes over the limits of the version in force. */
+export function syncConfig(owner: OwnerState): void {
+  const {inForce} = owner.board.config;
+  if (!inForce || inForce === owner.version) return;
+  owner.version = inForce;
+  const {self} = owner.board;
+  const {services, dataCentres} = inForce.document;
+  owner.service = services[self.service];
+  if (owner.service) {
+    configureAdmission(owner.admission, owner.service);
+    owner.upstream.setConnections(owner.service.connections);
+  }
+  if (dataCentres[self.dataCentre]?.state !== 'in') {
+    owner.outSince ??= owner.now();
+  } else if (owner.outSince !== undefined) {
+    owner.outSince = undefined;
+    coolDown(owner.admission);
+  }
+}
+
+/** Reasons not to take new work at all. */
+export function judgeArrival(
+  owner: OwnerState,
+  forward: Forward,
+): Outcome | undefined {
+  const {version, service, board} = owner;
+  if (owner.stopping) return 'leaving';
+  if (!version) return 'noConfig';
+  if (board.viewStale) return 'staleView';
+  if (owner.outSince !== undefined) return 'dataCentreOut';
+  const route = version.document.routes[forward.route];
+  // A route that is unknown here may come from another version at the entry.
+  if (!route && forward.version === version.version) return 'unknownRoute';
+  if (!service || (route && route.service !== board.self.service)) {
+    return 'wrongOwner';
+  }
+  return owner.health.isDown() ? 'upstreamDown' : undefined;
+}
+
+/** Reasons not to start work that has waited. */
+export function judgeStart(
+  owner: OwnerState,
+  forward: Forward,
+): Outcome | undefined {
+  const {outSince, keys} = owner;
+  if (owner.health.isDown()) return 'upstreamDown';
+  if (outSince !== undefined && owner.now() - outSince > OUT_GRACE_MS) {
+    return 'dataCentreOut';
+  }
+  const expired =
+    forward.key && isKeyExpired(keys, forward.key, owner.keyClock());
+  return expired ? 'keyExpired' : undefined;
+}
--- /dev/null
+++ b/src/daemon/upstream.ts
@@ -0,0 +1,161 @@
+import {connect} from 'node:net';
+import {Pool, type Dispatcher} from 'undici';
+
+/** Longest wait for a connection to the upstream beside the daemon, ms. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Request to the upstream. */
+export interface UpstreamRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: Buffer;
+}
+
+/** Headers of an answer; repeated headers are lists. */
+export type AnswerHeaders = Record<string, string | string[] | undefined>;
+
+/** Receiver of an answer. */
+export interface AnswerSink {
+  onHead(status: number, headers: AnswerHeaders): void;
+  /** Returns false to pause until `resume` is called. */
+  onData(chunk: Buffer, resume: () => void): boolean;
+}
+
+/**
+ * End of an exchange. `written` is false only if no byte of the request was
+ * handed to a connection; `aborted` is true if the signal ended it.
+ */
+export type Exchange =
+  | {complete: true}
+  | {complete: false; written: boolean; aborted: boolean; code: string};
+
+/** Client of the upstream beside the daemon. */
+export interface Upstream {
+  /** Sends once; never retries. Aborting closes the connection. */
+  send(
+    request: UpstreamRequest,
+    sink: AnswerSink,
+    signal: AbortSignal,
+  ): Promise<Exchange>;
+  /** Opens a new connection and says whether it was refused. */
+  isRefusing(): Promise<boolean>;
+  /** Asks `GET /health` and says whether any answer came. */
+  probe(): Promise<boolean>;
+  setConnections(connections: number): void;
+  close(): Promise<void>;
+}
+
+/** Creates the client; `url` is the origin of the upstream. */
+export function createUpstream(url: string, connections: number): Upstream {
+  const origin = new URL(url);
+  let pool = createPool(origin, connections);
+  let size = connections;
+  return {
+    send: (request, sink, signal) => sendOnce(pool, request, sink, signal),
+    isRefusing: () => isRefusing(origin),
+    probe: () => probe(origin),
+    setConnections(next) {
+      if (next === size) return;
+      size = next;
+      const old = pool;
+      pool = createPool(origin, next);
+      void old.close();
+    },
+    close: () => pool.close(),
+  };
+}
+
+function createPool(origin: URL, connections: number): Pool {
+  // The owner sets its own deadline on every exchange, so the timeouts of the
+  // client are off: they would cut long downloads.
+  return new Pool(origin.origin, {
+    connections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  });
+}
+
+function sendOnce(
+  pool: Pool,
+  request: UpstreamRequest,
+  sink: AnswerSink,
+  signal: AbortSignal,
+): Promise<Exchange> {
+  return new Promise(resolve => {
+    let written = false;
+    let controller: Dispatcher.DispatchController | undefined;
+    const abort = () => controller?.abort(new Error('aborted by the owner'));
+    const end = (exchange: Exchange) => {
+      signal.removeEventListener('abort', abort);
+      resolve(exchange);
+    };
+    signal.addEventListener('abort', abort);
+    const handler: Dispatcher.DispatchHandler = {
+      // Called once a connection is open, right before the first byte.
+      onRequestStart(started) {
+        controller = started;
+        if (signal.aborted) abort();
+        else written = true;
+      },
+      onResponseStart(_, status, headers) {
+        if (status >= 200) sink.onHead(status, headers);
+      },
+      onResponseData(flow, chunk) {
+        if (!sink.onData(chunk, () => flow.resume())) flow.pause();
+      },
+      onResponseEnd: () => end({complete: true}),
+      onResponseError(_, err: NodeJS.ErrnoException) {
+        const {aborted} = signal;
+        end({complete: false, written, aborted, code: err.code ?? ''});
+      },
+    };
+    const {method, path, headers, body} = request;
+    pool.dispatch(
+      {
+        method: method as Dispatcher.HttpMethod,
+        path,
+        headers,
+        body: body.length > 0 ? body : null,
+      },
+      handler,
+    );
+  });
+}
+
+function isRefusing(origin: URL): Promise<boolean> {
+  return new Promise(resolve => {
+    const port = Number(origin.port || 80);
+    const socket = connect({host: origin.hostname, port});
+    const end = (refused: boolean) => {
+      socket.destroy();
+      resolve(refused);
+    };
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => end(false));
+    socket.on('connect', () => end(false));
+    socket.on('error', (err: NodeJS.ErrnoException) =>
+      end(err.code === 'ECONNREFUSED'),
+    );
+  });
+}
+
+async function probe(origin: URL): Promise<boolean> {
+  // A pool of its own: the probe must not wait behind requests.
+  const pool = new Pool(origin.origin, {
+    connections: 1,
+    headersTimeout: CONNECT_TIMEOUT_MS,
+    bodyTimeout: CONNECT_TIMEOUT_MS,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  });
+  try {
+    const {body} = await pool.request({path: '/health', method: 'GET'});
+    await body.dump();
+    return true;
+  } catch {
+    return false;
+  } finally {
+    await pool.destroy();
+  }
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -18,4 +18,8 @@
 export * from './core/reader.js';
 export * from './core/relay.js';
 export * from './core/membership.js';
+export * from './core/limits.js';
+export * from './core/stall.js';
+export * from './core/admission.js';
+export * from './core/keys.js';
 export * from './core/blackboard.js';
