Wire links and the owner into the daemon

Cause: the thin path read the source in every daemon and forwarded without authentication or admission. Ruled out: wiring the entry as well; it is still the thin one.

--- a/__tests__/reader.test.ts
+++ b/__tests__/reader.test.ts
@@ -218,7 +218,7 @@
 test('new entries of the source reach every link and the next read at once', t => {
   const [board] = createRanked(3);
   for (const peer of ['m1', 'm2']) {
-    board.links.set(peer, {peer, dialled: true, heardAt: 0});
+    board.links.set(peer, {peer, dialled: true, upAt: 0, heardAt: 0});
   }
   reads(board, 0);
   const effects = handleSourceReply(board, publish(5).reply(3), 1_000);
@@ -250,7 +250,7 @@
     const start = findTakeover(board);
     // With peers it relies on them, so that an outage causes no storm.
     board.reader.pending = false;
-    board.links.set('m1', {peer: 'm1', dialled: true, heardAt: 0});
+    board.links.set('m1', {peer: 'm1', dialled: true, upAt: 0, heardAt: 0});
     t.is(reads(board, start + 20_000), 0);
     return start;
   });
--- a/__tests__/relay.test.ts
+++ b/__tests__/relay.test.ts
@@ -58,7 +58,7 @@
   const board = createBoard(record(id), createRandom(7), now);
   handleList(board, peers.map(record), now);
   for (const peer of peers) {
-    board.links.set(peer, {peer, dialled: true, heardAt: now});
+    board.links.set(peer, {peer, dialled: true, upAt: now, heardAt: now});
   }
   return board;
 }
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -54,7 +54,6 @@
 }
 
 function formatUpstream(status: Status): string[] {
-  if (!status.upstream) return [];
   const {limit, inFlight, queued, cold, stalled} = status.upstream;
   const marks = [cold && 'cold', stalled && 'stalled'].filter(Boolean);
   const state = marks.length > 0 ? marks.join(', ') : 'warm';
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,11 +1,16 @@
 import {randomBytes, randomInt} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
+  announceLeaving,
   count,
   createBoard,
   createRandom,
   FORWARD_PREFIX,
+  handleLinkDown,
+  handleLinkUp,
   handleList,
+  handleMessage,
   handleSourceError,
   handleSourceReply,
   handleTick,
@@ -18,15 +23,27 @@
 } from '../internal.js';
 import {createAdmin} from './admin.js';
 import {createEntry} from './entry.js';
+import {createLinks} from './links.js';
 import {createLog, logEvent} from './log.js';
 import {createMetrics, renderMetrics} from './metrics.js';
 import {createOwner} from './owner.js';
 import {readList, readSource} from './source.js';
 import {describeStatus} from './status.js';
+import {createUpstream} from './upstream.js';
+
+/** Time between the announcement of a stop and the first refusal, ms. */
+export const DRAIN_NOTICE_MS = 1_000;
 
 /** Largest header block accepted from customers and peers, bytes. */
 const MAX_HEADER_BYTES = 16_384;
 
+type EffectOf<K extends Effect['kind']> = Extract<Effect, {kind: K}>;
+
+/** What to do for each effect. */
+type Executors = {
+  readonly [K in Effect['kind']]: (effect: EffectOf<K>) => void;
+};
+
 /** A running daemon. */
 export interface Daemon {
   readonly board: Board;
@@ -46,17 +63,40 @@
   board.timeline.onEvent = event => logEvent(log, event);
   const metrics = createMetrics();
   const stopped = new AbortController();
-  const entry = createEntry({board});
-  const owner = createOwner({upstreamUrl: settings.upstream.url});
+  const {peerKey} = settings;
+  const entry = createEntry({board, peerKey});
+  const owner = createOwner({
+    board,
+    peerKey,
+    upstream: createUpstream(settings.upstream.url, 1),
+    reportCrash: fingerprints =>
+      count(board, 'crash_reports', fingerprints.length),
+    now,
+    wallAtStart: Date.now(),
+  });
+  const links = createLinks({
+    getSelf: () => board.self,
+    peerKey,
+    onUp: (record, dialled) => run(handleLinkUp(board, record, dialled, now())),
+    onDown: (id, reason) => run(handleLinkDown(board, id, reason, now())),
+    onMessage: (id, msg) => run(handleMessage(board, id, msg, now())),
+    count: name => count(board, name),
+  });
 
-  const run = (effects: Effect[]): void => {
-    for (const effect of effects) execute(effect);
-  };
-  const execute = (effect: Effect): void => {
-    if (effect.kind === 'readSource') void pollSource(effect);
-    if (effect.kind === 'readList') void pollList();
+  const execute: Executors = {
+    send: effect => links.send(effect.to, effect.msg),
+    dial: effect => links.dial(effect.to),
+    close: effect => links.close(effect.to, effect.reason),
+    readSource: effect => void pollSource(effect),
+    readList: () => void pollList(),
   };
-  const pollSource = async (effect: {after: number; waitMs: number}) => {
+  function run(effects: Effect[]): void {
+    for (const effect of effects) {
+      const handler = execute[effect.kind] as (effect: Effect) => void;
+      handler(effect);
+    }
+  }
+  const pollSource = async (effect: EffectOf<'readSource'>) => {
     const {configUrl} = settings.platform;
     try {
       const reply = await readSource(
@@ -84,14 +124,15 @@
   const peerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
   peerServer.on('request', (req, res) => {
     if (req.url?.startsWith(FORWARD_PREFIX)) {
-      void owner(req, res);
+      owner(req, res);
       return;
     }
     res.writeHead(404).end();
   });
+  links.attach(peerServer);
   const adminServer = createAdmin({
-    isReady: () => board.config.inForce !== undefined && !board.viewStale,
-    readStatus: () => describeStatus(board, now()),
+    isReady: () => isReady(board) && owner.isReady(),
+    readStatus: () => describeStatus(board, owner.readLoad(), now()),
     readDocument: () => board.config.inForce,
     readTimeline: () => ({
       dropped: board.timeline.dropped,
@@ -104,19 +145,32 @@
   await openPort(peerServer, listen.peerPort, listen.host);
   await openPort(adminServer, listen.adminPort, listen.adminHost);
   recordEvent(board.timeline, 'started', {boot: board.self.boot}, now());
-  run(handleTick(board, now()));
-  const ticker = setInterval(() => run(handleTick(board, now())), TICK_MS);
+  const tick = (): void => {
+    run(handleTick(board, now()));
+    owner.tick(now());
+  };
+  tick();
+  const ticker = setInterval(tick, TICK_MS);
 
   const stop = async (): Promise<void> => {
+    recordEvent(board.timeline, 'stopping', {}, now());
+    run(announceLeaving(board, now()));
+    // Entries need a moment to learn of it; until then their work is taken.
+    await delay(DRAIN_NOTICE_MS);
+    await owner.stop();
     clearInterval(ticker);
     stopped.abort();
-    recordEvent(board.timeline, 'stopping', {}, now());
+    await links.stop();
     const servers = [customerServer, peerServer, adminServer];
     await Promise.all(servers.map(closePort));
   };
   return {board, stop};
 }
 
+function isReady({config, viewStale, self}: Board): boolean {
+  return config.inForce !== undefined && !viewStale && self.state === 'live';
+}
+
 function createSelfRecord(settings: Settings): MemberRecord {
   const {id, dataCentre, region, service, listen} = settings;
   return {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,20 +1,21 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Agent, request} from 'undici';
-import {FORWARD_PREFIX, HEADERS, type Board} from '../internal.js';
+import {FORWARD_PREFIX, HEADERS, sign, type Board} from '../internal.js';
 import {readBody, sendRefusal} from './http.js';
 
 /** Creates the handler of customer requests. */
-export function createEntry(deps: {board: Board}) {
+export function createEntry(deps: {board: Board; peerKey: string}) {
   const agent = new Agent({pipelining: 1});
   return async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const id = randomUUID();
     const url = req.url ?? '/';
-    const routes = Object.values(
+    const routes = Object.entries(
       deps.board.config.inForce?.document.routes ?? {},
     );
-    const route = routes.find(item => url.startsWith(item.pathPrefix));
-    if (!route) return sendRefusal(res, 'unknownRoute', id);
+    const match = routes.find(([, item]) => url.startsWith(item.pathPrefix));
+    if (!match) return sendRefusal(res, 'unknownRoute', id);
+    const [name, route] = match;
     const members = [...deps.board.members.byId.values()]
       .map(member => member.record)
       .concat(deps.board.self)
@@ -29,7 +30,23 @@
           dispatcher: agent,
           method: req.method as 'GET',
           body: body && body.length > 0 ? body : null,
-          headers: {[HEADERS.id]: id},
+          headers: {
+            [HEADERS.id]: id,
+            [HEADERS.deadlineMs]: '5000',
+            [HEADERS.depth]: '1',
+            [HEADERS.budget]: '0',
+            [HEADERS.route]: name,
+            [HEADERS.priority]: route.priority,
+            [HEADERS.fingerprint]: '0123456789abcdef',
+            [HEADERS.auth]: sign(
+              deps.peerKey,
+              id,
+              name,
+              '0123456789abcdef',
+              '',
+              '5000',
+            ),
+          },
         },
       );
       res.writeHead(answer.statusCode, {
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -1,4 +1,4 @@
-import type {Board, MemberState, Refusal} from '../internal.js';
+import type {Board, LoadHint, MemberState, Refusal} from '../internal.js';
 
 /** Version as shown to operators. */
 export interface VersionStatus {
@@ -9,15 +9,6 @@
   confirmed: boolean;
 }
 
-/** Load of the upstream as shown to operators. */
-export interface UpstreamStatus {
-  limit: number;
-  inFlight: number;
-  queued: number;
-  cold: boolean;
-  stalled: boolean;
-}
-
 /** Status of a daemon as served on the admin port. */
 export interface Status {
   id: string;
@@ -30,8 +21,8 @@
   /** Data centres and their state in the version in force. */
   dataCentres: Record<string, string>;
   viewStale: boolean;
-  /** Load of the upstream beside the daemon; absent until it is known. */
-  upstream?: UpstreamStatus;
+  /** Load of the upstream beside the daemon. */
+  upstream: LoadHint;
   /** Age of our newest reply from the configuration service, ms; -1 none. */
   sourceAgeMs: number;
   refusals: Refusal[];
@@ -42,7 +33,11 @@
 }
 
 /** Describes a daemon for operators. */
-export function describeStatus(board: Board, now: number): Status {
+export function describeStatus(
+  board: Board,
+  upstream: LoadHint,
+  now: number,
+): Status {
   const {self, config} = board;
   const {inForce} = config;
   return {
@@ -70,6 +65,7 @@
       board.reader.succeededAt === undefined
         ? -1
         : Math.round(now - board.reader.succeededAt),
+    upstream,
     refusals: config.refusals,
     links: [...board.links.keys()].sort(),
     members: groupMembers(board),
