Add the demo and a fleet of daemon processes

Cause: the whole path has to be shown with one process per daemon, on a small version of deployment 1.

Ruled out: ports from the system's own range, which an outgoing connection may take between the search and the bind.

SIGKILL of the demo leaves its daemons behind, because src may not watch a parent and the demo has no other process.

--- /dev/null
+++ b/standins/demo.ts
@@ -0,0 +1,239 @@
+import {createRandom, KEYS_PATH} from '../src/internal.js';
+import {
+  createCustomer,
+  startLoad,
+  type Customer,
+  type LoadCounts,
+} from './customer.js';
+import {loadExample} from './example.js';
+import {startFleet, type Fleet, type InstanceSpec} from './fleet.js';
+
+// A small version of deployment 1 in separate processes, from start to stop.
+
+const LIMIT_MS = 58_000;
+const LOAD_PER_SECOND = 40;
+const MOVED = 'howrah';
+
+/** Time after which a data centre taken out gets no new work, ms. */
+const TAKE_OUT_MS = 4_000;
+const OBSERVE_MS = 3_000;
+const CONVERGENCE_MS = 6_000;
+
+const INSTANCES: InstanceSpec[] = ['howrah', 'salt-lake', 'barasat'].flatMap(
+  (dataCentre, i) => [
+    {id: `catalogue-${i + 1}`, service: 'catalogue', dataCentre},
+    {id: `dyehouse-${i + 1}`, service: 'dyehouse', dataCentre},
+  ],
+);
+
+const failures: string[] = [];
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function expect(name: string, holds: boolean, detail = ''): void {
+  print(`  ${holds ? 'ok  ' : 'FAIL'} ${name}${detail && `: ${detail}`}`);
+  if (!holds) failures.push(name);
+}
+
+function formatMs(ms: number): string {
+  return `${Math.round(ms)} ms`;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+async function showRequests(fleet: Fleet, customer: Customer): Promise<void> {
+  print('Requests through several entries');
+  for (const [entry, path] of [
+    ['catalogue-1', '/catalogue/items/7'],
+    ['dyehouse-2', '/catalogue/stock/7'],
+    ['catalogue-3', '/dye/status/7'],
+  ]) {
+    const {customerUrl} = fleet.get(entry).daemon;
+    const answer = await customer.send(customerUrl, {path});
+    const {status, verdict, body} = answer;
+    expect(
+      `${path} at ${entry}`,
+      status === 200 && verdict === 'ran',
+      `${status} ${verdict} ${body.toString('utf8').slice(0, 80)}`,
+    );
+  }
+  const {customerUrl} = fleet.get('dyehouse-1').daemon;
+  const refused = await customer.send(customerUrl, {path: '/orders/1'});
+  expect(
+    'a route whose service has no upstream is refused as not run',
+    refused.verdict === 'not-run' && refused.reason === 'no-upstream',
+    `${refused.status} ${refused.verdict} ${refused.reason}`,
+  );
+}
+
+async function showPatch(fleet: Fleet): Promise<void> {
+  print('Patch');
+  const {version} = fleet.publish('shorter stock checks', document => {
+    document.routes['stock-checks'].timeoutMs = 800;
+  });
+  const tookMs = await fleet.waitVersion(CONVERGENCE_MS);
+  expect(
+    `version ${version} in force in ${INSTANCES.length} daemons`,
+    true,
+    formatMs(tookMs),
+  );
+}
+
+async function showBooking(fleet: Fleet, customer: Customer): Promise<void> {
+  print('A booking with an idempotency key, sent twice');
+  const path = '/dye/bookings?op=bath-1';
+  const [first, second] = ['catalogue-1', 'dyehouse-3'].map(
+    id => fleet.get(id).daemon.customerUrl,
+  );
+  const minted = await customer.send(first, {
+    path: `${KEYS_PATH}?path=/dye/bookings&method=POST`,
+    method: 'POST',
+  });
+  const key = minted.key;
+  expect('a key is minted', key.startsWith('bk1~'), key.slice(0, 40));
+  if (!key) return;
+  const booking = {
+    path,
+    method: 'POST' as const,
+    headers: {'idempotency-key': key},
+    body: '{"bath":1}',
+  };
+  const answers = [
+    await customer.send(first, booking),
+    await customer.send(second, booking),
+  ];
+  const runs = fleet.ledger.byOperation('bath-1').length;
+  expect('the ledger has one run', runs === 1, `${runs}`);
+  expect(
+    'both answers are the same',
+    answers.every(({status, verdict}) => status === 200 && verdict === 'ran') &&
+      answers[0].body.equals(answers[1].body),
+    answers.map(({status, verdict}) => `${status} ${verdict}`).join(', '),
+  );
+}
+
+function countRuns(fleet: Fleet, dataCentre: string): number {
+  const ids = fleet.instances
+    .filter(instance => instance.dataCentre === dataCentre)
+    .map(instance => instance.id);
+  return fleet.ledger.runs.filter(run => ids.includes(run.upstream)).length;
+}
+
+async function moveDataCentre(
+  fleet: Fleet,
+  state: 'in' | 'out',
+): Promise<void> {
+  fleet.publish(`${MOVED} ${state}`, document => {
+    document.dataCentres[MOVED].state = state;
+  });
+  const tookMs = await fleet.waitVersion(CONVERGENCE_MS);
+  expect(`${MOVED} is ${state} everywhere`, true, formatMs(tookMs));
+}
+
+async function showMove(fleet: Fleet, customer: Customer): Promise<void> {
+  print(`${MOVED} is taken out and brought back under load`);
+  const entries = fleet.instances.map(({daemon}) => daemon.customerUrl);
+  const load = startLoad(
+    customer,
+    entries,
+    LOAD_PER_SECOND,
+    n => ({path: `/catalogue/items/${n}`}),
+    createRandom(1),
+  );
+  await pause(OBSERVE_MS);
+  const before = countRuns(fleet, MOVED);
+  expect(`${MOVED} serves before`, before > 0, `${before} runs`);
+  await moveDataCentre(fleet, 'out');
+  await pause(TAKE_OUT_MS);
+  const settled = countRuns(fleet, MOVED);
+  await pause(OBSERVE_MS);
+  const late = countRuns(fleet, MOVED) - settled;
+  expect(`${MOVED} gets no new work while out`, late === 0, `${late} runs`);
+  await moveDataCentre(fleet, 'in');
+  await fleet.waitFor(
+    `${MOVED} serves again`,
+    () => countRuns(fleet, MOVED) > settled,
+    CONVERGENCE_MS,
+  );
+  await pause(OBSERVE_MS);
+  const after = countRuns(fleet, MOVED) - settled;
+  expect(`${MOVED} serves again`, after > 0, `${after} runs`);
+  reportLoad(await load.stop());
+}
+
+function reportLoad(counts: LoadCounts): void {
+  const {sent, answered, refused, unclear, broken, reasons} = counts;
+  const detail =
+    `${sent} sent, ${answered} answered, ${refused} refused as not run, ` +
+    `${unclear} unclear, ${broken} broken ${JSON.stringify(reasons)}`;
+  expect('every request is answered or truthfully refused', sent > 0, detail);
+  expect('no request is unclear or broken', unclear + broken === 0);
+}
+
+async function runDemo(fleet: Fleet, customer: Customer): Promise<void> {
+  print(`${INSTANCES.length} upstreams and daemons in 3 data centres`);
+  const tookMs = await fleet.waitReady(20_000);
+  await fleet.waitVersion(CONVERGENCE_MS);
+  expect('every daemon is ready', true, formatMs(tookMs));
+  await showRequests(fleet, customer);
+  await showPatch(fleet);
+  await showBooking(fleet, customer);
+  await showMove(fleet, customer);
+  const {counts} = fleet.config;
+  print(
+    `Configuration service: ${counts.calls} calls, at most ` +
+      `${counts.peakPerSecond} within a second, ${counts.bytesOut} bytes`,
+  );
+}
+
+async function stopAll(fleet: Fleet, customer: Customer): Promise<void> {
+  await customer.close();
+  if (failures.length > 0) {
+    for (const {id, daemon} of fleet.instances) {
+      print(`Newest log lines of ${id}:\n  ${daemon.readLog(3).join('\n  ')}`);
+    }
+  }
+  const codes = await fleet.stop();
+  const bad = Object.entries(codes).filter(([, code]) => code !== 0);
+  print('Stop');
+  expect('every daemon ends with exit code 0', bad.length === 0, String(bad));
+}
+
+async function main(): Promise<void> {
+  const startedAt = performance.now();
+  // Without a handler a signal would skip the exit handler of the fleet.
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, () => process.exit(1));
+  }
+  const customer = createCustomer();
+  const fleet = await startFleet({
+    instances: INSTANCES,
+    document: loadExample('deployment-1'),
+  });
+  // The exit handler of the fleet kills the daemons when the limit is reached.
+  const timer = setTimeout(() => {
+    print(`FAIL: the demo has not ended within ${LIMIT_MS} ms`);
+    process.exit(1);
+  }, LIMIT_MS);
+  try {
+    await runDemo(fleet, customer);
+  } catch (err) {
+    expect(err instanceof Error ? err.message : String(err), false);
+  } finally {
+    await stopAll(fleet, customer);
+    clearTimeout(timer);
+  }
+  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+  print(
+    failures.length === 0
+      ? `All expectations hold (${seconds} s)`
+      : `${failures.length} expectations fail (${seconds} s)`,
+  );
+  process.exitCode = failures.length === 0 ? 0 : 1;
+}
+
+await main();
--- /dev/null
+++ b/standins/fleet.ts
@@ -0,0 +1,292 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+  checkDocument,
+  computeDigest,
+  makePatch,
+  settingsSchema,
+  type Document,
+  type MemberRecord,
+  type Settings,
+  type Version,
+} from '../src/internal.js';
+import {createConfigService, type ConfigService} from './config_service.js';
+import {startDaemonProcess, type DaemonProcess} from './daemon_process.js';
+import {createInstanceList, type InstanceList} from './instance_list.js';
+import {createLedger, type Ledger} from './ledger.js';
+import {findPort} from './ports.js';
+import {
+  createUpstream,
+  type Upstream,
+  type UpstreamOptions,
+} from './upstream.js';
+
+const POLL_MS = 50;
+const STOP_WAIT_MS = 8_000;
+
+/** One instance: an upstream and the daemon beside it. */
+export interface InstanceSpec {
+  id: string;
+  service: string;
+  dataCentre: string;
+}
+
+/** Shape of a fleet. */
+export interface FleetOptions {
+  instances: readonly InstanceSpec[];
+  document: Document;
+  /** Options of all upstreams; slots and connections come from the service. */
+  upstream?: Partial<Omit<UpstreamOptions, 'id' | 'ledger'>>;
+}
+
+/** An instance with its running parts. */
+export interface Instance extends InstanceSpec {
+  readonly upstream: Upstream;
+  daemon: DaemonProcess;
+}
+
+/** Status of a daemon as far as the fleet reads it. */
+export interface FleetStatus {
+  version: {version: number; digest: string} | null;
+  links: string[];
+  refusals: Array<{index: number; reason: string}>;
+  members: Record<string, Record<string, string[]>>;
+}
+
+/** Stand-ins in this process and one daemon process per upstream. */
+export interface Fleet {
+  readonly config: ConfigService;
+  readonly list: InstanceList;
+  readonly ledger: Ledger;
+  readonly instances: readonly Instance[];
+  get(id: string): Instance;
+  /** Newest published version. */
+  version(): Version;
+  /** Publishes a patch from the newest version to a changed copy of it. */
+  publish(note: string, change: (document: Document) => void): Version;
+  /** Waits until a condition holds; throws with its name after a limit. */
+  waitFor(
+    name: string,
+    condition: () => boolean | Promise<boolean>,
+    limitMs: number,
+  ): Promise<number>;
+  waitReady(limitMs: number): Promise<number>;
+  /** Waits until all running daemons serve the newest version. */
+  waitVersion(limitMs: number): Promise<number>;
+  readStatus(id: string): Promise<FleetStatus | undefined>;
+  /** Starts the daemon of an instance again, with the same settings. */
+  restart(id: string): void;
+  /** Stops all daemons by pid and all stand-ins; returns the exit codes. */
+  stop(): Promise<Record<string, number | string>>;
+}
+
+/** Starts the stand-ins and the daemons; does not wait for readiness. */
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const directory = mkdtempSync(join(tmpdir(), 'berylbend-'));
+  const config = createConfigService();
+  const list = createInstanceList();
+  const ledger = createLedger();
+  const instances: Instance[] = [];
+  let version = createFirstVersion(options.document);
+
+  // Covers an exit without stop(), so that no daemon outlives this process.
+  const killAll = () => {
+    for (const {daemon} of instances) daemon.signal('SIGKILL');
+    rmSync(directory, {recursive: true, force: true});
+  };
+  process.once('exit', killAll);
+
+  async function start(): Promise<void> {
+    const configUrl = await config.listen();
+    const listUrl = await list.listen();
+    const {digest, document} = version;
+    config.publish('snapshot', {
+      version: version.version,
+      digest,
+      document,
+      author: 'fleet',
+      note: 'first version',
+    });
+    for (const spec of options.instances) {
+      instances.push(await startInstance(spec, configUrl, listUrl));
+    }
+  }
+
+  async function startInstance(
+    spec: InstanceSpec,
+    configUrl: string,
+    listUrl: string,
+  ): Promise<Instance> {
+    const {slots, connections} = options.document.services[spec.service];
+    const upstream = createUpstream({
+      slots,
+      connections,
+      ...options.upstream,
+      id: spec.id,
+      ledger,
+    });
+    const url = await upstream.listen();
+    const settings = settingsSchema.parse({
+      ...spec,
+      region: options.document.dataCentres[spec.dataCentre].region,
+      listen: {
+        customerPort: await findPort(),
+        peerPort: await findPort(),
+        adminPort: await findPort(),
+      },
+      upstream: {url},
+      platform: {configUrl, listUrl, listEveryMs: 2_000},
+      peerKey: 'shared-key-of-the-local-fleet',
+    });
+    list.register(createRecord(settings));
+    const daemon = startDaemonProcess(settings, directory);
+    return {...spec, upstream, daemon};
+  }
+
+  function get(id: string): Instance {
+    const found = instances.find(instance => instance.id === id);
+    if (!found) throw new Error(`no instance ${id}`);
+    return found;
+  }
+
+  function publish(
+    note: string,
+    change: (document: Document) => void,
+  ): Version {
+    const next = structuredClone(version.document);
+    change(next);
+    const patch = makePatch(version, next, 'fleet', note);
+    const {index} = config.publish('patch', patch);
+    const digest = computeDigest(next);
+    version = {version: version.version + 1, digest, index, document: next};
+    return version;
+  }
+
+  async function waitFor(
+    name: string,
+    condition: () => boolean | Promise<boolean>,
+    limitMs: number,
+  ): Promise<number> {
+    const startedAt = performance.now();
+    while (!(await condition())) {
+      const tookMs = performance.now() - startedAt;
+      if (tookMs > limitMs) {
+        throw new Error(`${name}: not within ${limitMs} ms`);
+      }
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    return performance.now() - startedAt;
+  }
+
+  const running = () => instances.filter(({daemon}) => daemon.isRunning());
+
+  async function waitReady(limitMs: number): Promise<number> {
+    return waitFor(
+      'every daemon is ready',
+      async () => {
+        const ended = instances.find(({daemon}) => !daemon.isRunning());
+        if (ended) {
+          const lines = ended.daemon.readLog(5).join('\n');
+          throw new Error(`daemon ${ended.id} has ended:\n${lines}`);
+        }
+        const answers = await Promise.all(
+          instances.map(({daemon}) => daemon.readAdmin('/ready')),
+        );
+        return answers.every(answer => answer?.status === 200);
+      },
+      limitMs,
+    );
+  }
+
+  async function waitVersion(limitMs: number): Promise<number> {
+    return waitFor(
+      `version ${version.version} is in force everywhere`,
+      async () => {
+        const all = await Promise.all(running().map(i => readStatus(i.id)));
+        return all.every(
+          status =>
+            status?.version?.version === version.version &&
+            status.version.digest === version.digest,
+        );
+      },
+      limitMs,
+    );
+  }
+
+  async function readStatus(id: string): Promise<FleetStatus | undefined> {
+    const answer = await get(id).daemon.readAdmin('/status');
+    return answer && (JSON.parse(answer.text) as FleetStatus);
+  }
+
+  function restart(id: string): void {
+    const instance = get(id);
+    const {settings} = instance.daemon;
+    instance.daemon = startDaemonProcess(settings, directory);
+  }
+
+  async function stop(): Promise<Record<string, number | string>> {
+    for (const {daemon} of instances) daemon.signal('SIGTERM');
+    const timer = setTimeout(() => {
+      for (const {daemon} of instances) daemon.signal('SIGKILL');
+    }, STOP_WAIT_MS);
+    const codes = await Promise.all(
+      instances.map(async ({id, daemon}) => [id, await daemon.exited]),
+    );
+    clearTimeout(timer);
+    await Promise.all([
+      config.close(),
+      list.close(),
+      ...instances.map(({upstream}) => upstream.close()),
+    ]);
+    process.removeListener('exit', killAll);
+    rmSync(directory, {recursive: true, force: true});
+    return Object.fromEntries(codes) as Record<string, number | string>;
+  }
+
+  try {
+    await start();
+  } catch (err) {
+    await stop();
+    throw err;
+  }
+  return {
+    config,
+    list,
+    ledger,
+    instances,
+    get,
+    version: () => version,
+    publish,
+    waitFor,
+    waitReady,
+    waitVersion,
+    readStatus,
+    restart,
+    stop,
+  };
+}
+
+function createFirstVersion(value: Document): Version {
+  const checked = checkDocument(value);
+  if (!checked.ok) throw new Error(checked.faults.join('; '));
+  const document = checked.value;
+  return {version: 1, digest: computeDigest(document), index: 1, document};
+}
+
+function createRecord(settings: Settings): MemberRecord {
+  const {id, dataCentre, region, service, listen} = settings;
+  const {host, customerPort, peerPort} = listen;
+  return {
+    id,
+    incarnation: 0,
+    boot: '',
+    dataCentre,
+    region,
+    service,
+    host,
+    customerPort,
+    peerPort,
+    state: 'live',
+  };
+}
--- /dev/null
+++ b/standins/ports.ts
@@ -0,0 +1,31 @@
+import {createServer} from 'node:net';
+
+// Below the range that the system takes outgoing ports from, so that a port
+// found free stays free until a daemon binds it.
+const FIRST_PORT = 20_000;
+const BLOCK_SIZE = 100;
+const BLOCKS = 120;
+
+let block = process.pid % BLOCKS;
+let offset = 0;
+
+/** Finds a port on 127.0.0.1 that nothing listens on; never the same twice. */
+export async function findPort(): Promise<number> {
+  for (let tries = 0; tries < BLOCKS * BLOCK_SIZE; tries++) {
+    const port = FIRST_PORT + block * BLOCK_SIZE + offset++;
+    if (offset === BLOCK_SIZE) {
+      offset = 0;
+      block = (block + 1) % BLOCKS;
+    }
+    if (await isFree(port)) return port;
+  }
+  throw new Error('no free port');
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const probe = createServer();
+    probe.once('error', () => resolve(false));
+    probe.listen(port, '127.0.0.1', () => probe.close(() => resolve(true)));
+  });
+}
