--- /dev/null
+++ b/bench/support/history.ts
@@ -0,0 +1,22 @@
+import {execFileSync} from 'node:child_process';
+import {appendFileSync} from 'node:fs';
+import {loadavg} from 'node:os';
+
+const HISTORY = new URL('../../../bench/history.jsonl', import.meta.url);
+
+/** Appends the figures of one run to the bench history. */
+export function appendHistory(bench: string, figures: unknown): void {
+  const line = {
+    at: new Date().toISOString(),
+    bench,
+    commit: readCommit(),
+    load: loadavg().map(value => Math.round(value * 100) / 100),
+    figures,
+  };
+  appendFileSync(HISTORY, `${JSON.stringify(line)}\n`);
+}
+
+function readCommit(): string {
+  const text = execFileSync('git', ['describe', '--always', '--dirty']);
+  return text.toString().trim();
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -80,7 +80,7 @@
     onUp: (record, dialled) => run(handleLinkUp(board, record, dialled, now())),
     onDown: (id, reason) => run(handleLinkDown(board, id, reason, now())),
     onMessage: (id, msg) => run(handleMessage(board, id, msg, now())),
-    count: name => count(board, name),
+    count: (name, by) => count(board, name, by),
   });
 
   const execute: Executors = {
--- a/src/daemon/links.ts
+++ b/src/daemon/links.ts
@@ -48,7 +48,7 @@
   /** Called for a lost link and, with `dial-failed`, for a failed dial. */
   readonly onDown: (id: string, reason: string) => void;
   readonly onMessage: (id: string, msg: PeerMessage) => void;
-  readonly count: (name: string) => void;
+  readonly count: (name: string, by?: number) => void;
   readonly handshakeMs?: number;
   readonly maxBufferedBytes?: number;
 }
@@ -159,6 +159,7 @@
   }
 
   function receiveMessage(session: Session, frame: Buffer): void {
+    deps.count('link_bytes_received', frame.length);
     const parsed = parseMessage(decodeFrame(frame));
     if (!parsed.ok) return end(session, 'bad-message');
     const {id} = session.peerHello!.record;
@@ -257,6 +258,7 @@
       if (session.socket.bufferedAmount + frame.length > maxBuffered) {
         return end(session, 'slow-peer');
       }
+      deps.count('link_bytes_sent', frame.length);
       session.socket.send(frame);
     },
     close(id, reason) {
