--- a/__tests__/admission.test.ts
+++ b/__tests__/admission.test.ts
@@ -120,9 +120,10 @@
     const rig = createRig();
     await warm(rig);
     t.is(readLoad(rig.admission).limit, 8);
-    // Five good requests started while warm must not raise the cold limit.
     for (let i = 0; i < 3; i++) void send(rig, turn);
-    for (let i = 0; i < 5; i++) void send(rig, {ms: 401});
+    // Good answers to requests from before must not raise the cold limit.
+    await rig.clock.tickAsync('ms' in turn ? 380 : 30);
+    for (let i = 0; i < 5; i++) void send(rig);
     await rig.clock.runAllAsync();
     t.like(readLoad(rig.admission), {limit: 1, cold: true});
   });
--- a/__tests__/owner.test.ts
+++ b/__tests__/owner.test.ts
@@ -24,12 +24,18 @@
   }
 }
 
-/** Answers enough requests for the limit to reach the slots. */
+/** Keeps the limit fully used until it has reached the slots. */
 async function warm(rig: OwnerRig): Promise<void> {
-  for (let i = 0; i < 4; i++) {
-    const ids = Array.from({length: 8}, (_, n) => `warm-${i}-${n}`);
-    await Promise.all(ids.map(id => rig.send(id)));
+  const ids = Array.from({length: 30}, (_, n) => `warm-${n}`);
+  const all = Promise.all(ids.map(id => rig.send(id, {path: '/hold'})));
+  for (let left = ids.length; left > 0;) {
+    const full = () => Math.min(left, rig.owner.readLoad().limit);
+    await until(() => rig.fake.held.length >= full());
+    const batch = rig.fake.held.splice(0);
+    for (const release of batch) release();
+    left -= batch.length;
   }
+  await all;
 }
 
 const verdictOf = (reply: Reply) => [
@@ -45,7 +51,7 @@
     t.is(reply.body, 'answer');
     t.is(reply.headers[HEADERS.id], 'a');
     t.is(reply.headers[HEADERS.boot], 'a'.repeat(16));
-    t.regex(String(reply.headers[HEADERS.load]), /^\d+,\d+,\d+,[01],[01]$/);
+    t.regex(String(reply.headers[HEADERS.load]), /^\d+,\d+,\d+,[01]$/);
     const [{path, headers}] = rig.fake.runs('a');
     t.is(path, '/ok?x=1');
     t.like(headers, {
@@ -281,7 +287,9 @@
       onData: () => (begun = true),
     });
     await until(() => begun);
-    const held = [1, 2, 3, 4].map(n => rig.send(`held-${n}`, {path: '/hold'}));
+    const held = [1, 2, 3, 4, 5, 6].map(n =>
+      rig.send(`held-${n}`, {path: '/hold'}),
+    );
     await until(() => rig.owner.readLoad().queued === 1);
     let stopped = false;
     const stop = rig.owner.stop().then(() => (stopped = true));
@@ -314,7 +322,7 @@
 test.serial('a data centre brought back or a stall goes unnoticed', t =>
   withOwner(async rig => {
     await warm(rig);
-    t.is(rig.owner.readLoad().limit, 4);
+    t.is(rig.owner.readLoad().limit, 6);
     rig.setDataCentre('out');
     rig.owner.tick(clock.now);
     rig.setDataCentre('in');
@@ -326,6 +334,8 @@
     rig.owner.tick(clock.now);
     t.false(rig.owner.isReady());
     t.is(rig.board.counters.get('upstream_stalls'), 1);
+    const hint = (await rig.send('late', {deadlineMs: '0'})).headers;
+    t.regex(String(hint[HEADERS.load]), /^0,1,/);
     rig.fake.held.pop()!();
     t.is((await held).status, 200);
     t.true(rig.owner.isReady());
--- a/__tests__/support/owner_rig.ts
+++ b/__tests__/support/owner_rig.ts
@@ -67,7 +67,7 @@
 
 /** Puts a version in force that names one service and one data centre. */
 export function putInForce(board: Board, state: 'in' | 'out'): void {
-  const service = {slots: 4, connections: 4, dataCentres: ['dc-1']};
+  const service = {slots: 6, connections: 6, dataCentres: ['dc-1']};
   const route = {pathPrefix: '/', methods: ['GET', 'POST'], service: 'orders'};
   const document = documentSchema.parse({
     dataCentres: {'dc-1': {region: 'north', state}},
@@ -91,7 +91,7 @@
   const owner = createOwner({
     board,
     peerKey: PEER_KEY,
-    upstream: createUpstream(fake.url, 4),
+    upstream: createUpstream(fake.url, 6),
     reportCrash: fingerprints => crashes.push(fingerprints),
     now: () => clock.now,
     wallAtStart: 1e12 + clock.now,
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -182,10 +182,13 @@
   };
 }
 
-/** Header form of a load hint: limit, inFlight, queued, cold, stalled. */
+/**
+ * Header form of a load hint: limit, inFlight, queued, cold. The limit of a
+ * stalled upstream is told as 0, so that entries see no free capacity.
+ */
 export function formatLoad(load: LoadHint): string {
-  const flags = [load.cold, load.stalled].map(Number);
-  return [load.limit, load.inFlight, load.queued, ...flags].join(',');
+  const limit = load.stalled ? 0 : load.limit;
+  return [limit, load.inFlight, load.queued, Number(load.cold)].join(',');
 }
 
 function readCeiling(config: AdmissionConfig): number {
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -10,7 +10,7 @@
   type LoadHint,
   type Outcome,
 } from '../internal.js';
-import {parseForward, type Forward} from './forward.js';
+import {parseForward, type Forward} from './owner_forward.js';
 import {MAX_BODY_BYTES, readBody} from './http.js';
 import {
   isPastDeadline,
--- a/src/daemon/owner_call.ts
+++ b/src/daemon/owner_call.ts
@@ -16,7 +16,11 @@
   type RecordedAnswer,
   type Sign,
 } from '../internal.js';
-import {buildUpstreamHeaders, pickEndToEnd, type Forward} from './forward.js';
+import {
+  buildUpstreamHeaders,
+  pickEndToEnd,
+  type Forward,
+} from './owner_forward.js';
 import type {Health} from './health.js';
 import {sendRefusal} from './http.js';
 import type {
--- a/src/daemon/owner_state.ts
+++ b/src/daemon/owner_state.ts
@@ -17,7 +17,7 @@
   type ServiceConfig,
   type Version,
 } from '../internal.js';
-import type {Forward} from './forward.js';
+import type {Forward} from './owner_forward.js';
 import {createHealth} from './health.js';
 import type {Call, CallContext} from './owner_call.js';
 import type {Upstream} from './upstream.js';
