--- a/src/core/retry.ts
+++ b/src/core/retry.ts
@@ -55,10 +55,13 @@
   return Math.min(RETRY_BUDGET, Number(text));
 }
 
-/** Reads the `berylbend-depth` header: 0 when absent, undefined if malformed. */
+/**
+ * Reads the `berylbend-depth` header, the number of this hop: 1 when absent,
+ * undefined when malformed. The owner tells the upstream the next number.
+ */
 export function parseDepth(text: string | undefined): number | undefined {
-  if (text === undefined) return 0;
-  return /^\d{1,3}$/.test(text) ? Number(text) : undefined;
+  if (text === undefined) return 1;
+  return /^\d{1,3}$/.test(text) ? Math.max(1, Number(text)) : undefined;
 }
 
 /**
--- a/src/core/suspects.ts
+++ b/src/core/suspects.ts
@@ -225,24 +225,23 @@
 }
 
 /**
- * Notes that a run sent from here crashed its upstream. `knownBefore` is the
- * number of crashes known when the run was sent: as that run came after them,
- * its crash counts separately. Returns the sends that tell all peers.
+ * Notes that an upstream crashed with these requests in flight. `knownBefore`
+ * is the number of crashes the entry knew when it sent the run: as that run
+ * came after them, its crash counts separately; an owner states 0. Returns the
+ * sends that tell all peers.
  */
-export function reportCrash(
+export function reportCrashes(
   board: Board,
-  crash: {
-    fingerprint: string;
-    service: string;
-    upstream: string;
-    knownBefore: number;
-  },
+  fingerprints: readonly string[],
+  crash: {service: string; upstream: string; knownBefore: number},
   now: number,
 ): Effect[] {
-  const {fingerprint, service, upstream, knownBefore} = crash;
+  const {service, upstream, knownBefore} = crash;
   const crashes = knownBefore + 1;
-  const report = {fingerprint, service, upstream, crashes, ageMs: 0};
-  return relayNew(board, [report], now);
+  const reports = fingerprints.map(fingerprint => {
+    return {fingerprint, service, upstream, crashes, ageMs: 0};
+  });
+  return relayNew(board, reports, now);
 }
 
 /** Handles `crash`: relays the new reports once on all other links. */
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,212 @@
+import {randomBytes, randomInt} from 'node:crypto';
+import {createServer, type Server} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+  announceLeaving,
+  count,
+  createBoard,
+  createRandom,
+  FORWARD_PREFIX,
+  handleCrash,
+  handleLinkDown,
+  handleLinkUp,
+  handleList,
+  handleMessage,
+  handleSourceError,
+  handleSourceReply,
+  handleTick,
+  recordEvent,
+  reportCrashes,
+  TICK_MS,
+  type Board,
+  type Effect,
+  type MemberRecord,
+  type Settings,
+} from '../internal.js';
+import {createAdmin} from './admin.js';
+import {createEntry} from './entry.js';
+import {createLinks} from './links.js';
+import {createLog, logEvent} from './log.js';
+import {createMetrics, renderMetrics} from './metrics.js';
+import {createOwner} from './owner.js';
+import {readList, readSource} from './source.js';
+import {describeStatus} from './status.js';
+import {createUpstream} from './upstream.js';
+
+/** Time between the announcement of a stop and the first refusal, ms. */
+export const DRAIN_NOTICE_MS = 1_000;
+
+/** Largest header block accepted from customers and peers, bytes. */
+const MAX_HEADER_BYTES = 16_384;
+
+type EffectOf<K extends Effect['kind']> = Extract<Effect, {kind: K}>;
+
+/** What to do for each effect. */
+type Executors = {
+  readonly [K in Effect['kind']]: (effect: EffectOf<K>) => void;
+};
+
+/** A running daemon. */
+export interface Daemon {
+  readonly board: Board;
+  /** Stops gracefully; resolves when running work has ended. */
+  stop(): Promise<void>;
+}
+
+/** Starts a daemon: opens its ports and begins to learn the configuration. */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+  const now = () => performance.now();
+  const board = createBoard(
+    createSelfRecord(settings),
+    createRandom(randomInt(2 ** 32)),
+    now(),
+  );
+  const log = createLog(settings);
+  board.timeline.onEvent = event => logEvent(log, event);
+  const metrics = createMetrics();
+  const stopped = new AbortController();
+  const {peerKey} = settings;
+  const entry = createEntry({board, peerKey, now, execute: run});
+  board.onCrash = handleCrash;
+  const owner = createOwner({
+    board,
+    peerKey,
+    upstream: createUpstream(settings.upstream.url, 1),
+    reportCrash: fingerprints => {
+      const {service, id: upstream} = board.self;
+      const crash = {service, upstream, knownBefore: 0};
+      run(reportCrashes(board, fingerprints, crash, now()));
+    },
+    now,
+    wallAtStart: Date.now(),
+  });
+  const links = createLinks({
+    getSelf: () => board.self,
+    peerKey,
+    onUp: (record, dialled) => run(handleLinkUp(board, record, dialled, now())),
+    onDown: (id, reason) => run(handleLinkDown(board, id, reason, now())),
+    onMessage: (id, msg) => run(handleMessage(board, id, msg, now())),
+    count: (name, by) => count(board, name, by),
+  });
+
+  const execute: Executors = {
+    send: effect => links.send(effect.to, effect.msg),
+    dial: effect => links.dial(effect.to),
+    close: effect => links.close(effect.to, effect.reason),
+    readSource: effect => void pollSource(effect),
+    readList: () => void pollList(),
+  };
+  function run(effects: Effect[]): void {
+    for (const effect of effects) {
+      const handler = execute[effect.kind] as (effect: Effect) => void;
+      handler(effect);
+    }
+  }
+  const pollSource = async (effect: EffectOf<'readSource'>) => {
+    const {configUrl} = settings.platform;
+    try {
+      const reply = await readSource(
+        configUrl,
+        effect.after,
+        effect.waitMs,
+        stopped.signal,
+      );
+      run(handleSourceReply(board, reply, now()));
+    } catch {
+      run(handleSourceError(board, now()));
+    }
+  };
+  const pollList = async () => {
+    try {
+      const records = await readList(settings.platform.listUrl, stopped.signal);
+      run(handleList(board, records, now()));
+    } catch {
+      count(board, 'listFailures');
+    }
+  };
+
+  const customerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
+  customerServer.on('request', entry);
+  customerServer.on('clientError', entry.handleClientError);
+  const peerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
+  peerServer.on('request', (req, res) => {
+    if (req.url?.startsWith(FORWARD_PREFIX)) {
+      owner(req, res);
+      return;
+    }
+    res.writeHead(404).end();
+  });
+  links.attach(peerServer);
+  const adminServer = createAdmin({
+    isReady: () => isReady(board) && owner.isReady(),
+    readStatus: () => describeStatus(board, owner.readLoad(), now()),
+    readDocument: () => board.config.inForce,
+    readTimeline: () => ({
+      dropped: board.timeline.dropped,
+      events: board.timeline.events,
+    }),
+    readMetrics: () => renderMetrics(board, metrics, {}),
+  });
+  const {listen} = settings;
+  await openPort(customerServer, listen.customerPort, listen.host);
+  await openPort(peerServer, listen.peerPort, listen.host);
+  await openPort(adminServer, listen.adminPort, listen.adminHost);
+  recordEvent(board.timeline, 'started', {boot: board.self.boot}, now());
+  const tick = (): void => {
+    run(handleTick(board, now()));
+    owner.tick(now());
+  };
+  tick();
+  const ticker = setInterval(tick, TICK_MS);
+
+  const stop = async (): Promise<void> => {
+    recordEvent(board.timeline, 'stopping', {}, now());
+    run(announceLeaving(board, now()));
+    // Entries need a moment to learn of it; until then their work is taken.
+    await delay(DRAIN_NOTICE_MS);
+    await Promise.all([entry.stop(), owner.stop()]);
+    clearInterval(ticker);
+    stopped.abort();
+    await links.stop();
+    const servers = [customerServer, peerServer, adminServer];
+    await Promise.all(servers.map(closePort));
+  };
+  return {board, stop};
+}
+
+function isReady({config, viewStale, self}: Board): boolean {
+  return config.inForce !== undefined && !viewStale && self.state === 'live';
+}
+
+function createSelfRecord(settings: Settings): MemberRecord {
+  const {id, dataCentre, region, service, listen} = settings;
+  return {
+    id,
+    incarnation: Date.now(),
+    boot: randomBytes(8).toString('hex'),
+    dataCentre,
+    region,
+    service,
+    host: settings.advertiseHost ?? listen.host,
+    customerPort: listen.customerPort,
+    peerPort: listen.peerPort,
+    state: 'live',
+  };
+}
+
+function openPort(server: Server, port: number, host: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+}
+
+function closePort(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -1,6 +1,7 @@
 import {
   FORWARD_PREFIX,
   HEADERS,
+  MEMBER_STATES,
   beginAlone,
   chooseUpstream,
   combineOutcomes,
@@ -10,6 +11,7 @@
   findCandidates,
   formatHlc,
   judgeRequest,
+  listMembers,
   noteFailure,
   noteFinished,
   noteReply,
@@ -17,7 +19,7 @@
   noteUnavailable,
   rankByRendezvous,
   recordEvent,
-  reportCrash,
+  reportCrashes,
   sign,
   tickHlc,
   type Judgement,
@@ -25,7 +27,7 @@
   type Outcome,
 } from '../internal.js';
 import {startAttempt, type AttemptResult} from './attempt.js';
-import {listAll, refuse, type EntryState, type Exchange} from './exchange.js';
+import {refuse, type EntryState, type Exchange} from './exchange.js';
 import type {ForwardRequest} from './forward.js';
 import type {Intake} from './intake.js';
 
@@ -106,11 +108,11 @@
   intake: Intake,
   judgement: Judgement,
 ): MemberRecord | undefined {
-  const {board, random, now} = state.deps;
+  const {board, now} = state.deps;
   const {service} = intake.matched.route;
-  const members = listAll(state, service);
+  const members = listMembers(board, {service, states: MEMBER_STATES});
   if (exchange.boundTo !== undefined) {
-    return [...members].find(record => record.id === exchange.boundTo);
+    return members.find(record => record.id === exchange.boundTo);
   }
   const {document} = intake.version;
   const candidates = findCandidates(document, service, members);
@@ -124,7 +126,13 @@
   }
   const {dataCentre, region} = board.self;
   const context = {dataCentre, region, tried: exchange.tried};
-  return chooseUpstream(board.routing, candidates, context, random, now());
+  return chooseUpstream(
+    board.routing,
+    candidates,
+    context,
+    board.random,
+    now(),
+  );
 }
 
 async function runAttempt(
@@ -166,15 +174,16 @@
   intake: Intake,
   at: number,
 ): ForwardRequest {
-  const {board, key} = state.deps;
+  const {board, peerKey} = state.deps;
   const {id, fingerprint, body} = exchange;
   const {matched, method, target} = intake;
   const {timeline} = board;
   timeline.hlc = tickHlc(timeline.hlc, Date.now());
   const deadlineMs = String(Math.max(1, Math.floor(exchange.deadlineAt - at)));
-  const idempotencyKey = intake.key ?? '';
+  // Owners take bound keys only; an idempotent request needs none.
+  const idempotencyKey = exchange.boundTo ? (intake.key ?? '') : '';
   const mac = sign(
-    key,
+    peerKey,
     id,
     matched.name,
     fingerprint,
@@ -185,7 +194,7 @@
     ...intake.headers,
     ...[HEADERS.id, id],
     ...[HEADERS.deadlineMs, deadlineMs],
-    ...[HEADERS.depth, String(intake.depth + 1)],
+    ...[HEADERS.depth, String(intake.depth)],
     ...[HEADERS.budget, String(exchange.budget)],
     ...[HEADERS.route, matched.name],
     ...[HEADERS.priority, matched.route.priority],
@@ -263,7 +272,7 @@
   exchange.crashes++;
   const {service} = intake.matched.route;
   const knownBefore = judgement.crashes;
-  const crash = {fingerprint, service, upstream, knownBefore};
-  const effects = reportCrash(board, crash, now());
+  const crash = {service, upstream, knownBefore};
+  const effects = reportCrashes(board, [fingerprint], crash, now());
   if (effects.length > 0) execute?.(effects);
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {
   STATUS_CODES,
   type IncomingMessage,
@@ -7,6 +8,7 @@
 import {
   HEADERS,
   KEYS_PATH,
+  KEY_LIFETIME_MS,
   OUTCOMES,
   chooseUpstream,
   combineOutcomes,
@@ -14,8 +16,11 @@
   count,
   findCandidates,
   formatReason,
+  listMembers,
   matchRoute,
+  mintKey,
   normalizePath,
+  parseKey,
   VERDICT_HEADER_VALUES,
   type MemberRecord,
   type Outcome,
@@ -25,7 +30,6 @@
 import {
   beginExchange,
   createEntryState,
-  listAll,
   refuse,
   sendJson,
   type EntryDeps,
@@ -35,7 +39,7 @@
 import {createForwarder} from './forward.js';
 import {bufferBody, checkHead, type Intake} from './intake.js';
 
-export type {BoundKeyParts, EntryDeps} from './exchange.js';
+export type {EntryDeps} from './exchange.js';
 
 /** Request handler of the customer port. */
 export interface Entry {
@@ -104,7 +108,7 @@
 function readBoundKey(state: EntryState, exchange: Exchange): void {
   const text = exchange.req.headers[HEADERS.key];
   if (typeof text !== 'string') return;
-  exchange.boundTo = state.deps.parseKey(text)?.owner;
+  exchange.boundTo = parseKey(state.deps.peerKey, text)?.owner;
 }
 
 function startDeadline(
@@ -143,7 +147,7 @@
     refuse(state, exchange, 'noUpstream');
     return false;
   }
-  const minted = {[HEADERS.key]: state.deps.mintKey(owner)};
+  const minted = {[HEADERS.key]: mintBoundKey(state, owner)};
   refuse(state, exchange, 'keyNotBound', false, minted);
   return false;
 }
@@ -154,15 +158,32 @@
   version: Version,
   service: string,
 ): MemberRecord | undefined {
-  const {board, random, now} = state.deps;
+  const {board, now} = state.deps;
   const candidates = findCandidates(
     version.document,
     service,
-    listAll(state, service),
+    listMembers(board, {service}),
   ).filter(record => record.boot !== '');
   const {dataCentre, region} = board.self;
   const context = {dataCentre, region};
-  return chooseUpstream(board.routing, candidates, context, random, now());
+  return chooseUpstream(
+    board.routing,
+    candidates,
+    context,
+    board.random,
+    now(),
+  );
+}
+
+function mintBoundKey(state: EntryState, owner: MemberRecord): string {
+  return mintKey(state.deps.peerKey, {
+    owner: owner.id,
+    boot: owner.boot,
+    expiresAt: Date.now() + KEY_LIFETIME_MS,
+    // Two requests with one key would count as one, so a nonce must be unique
+    // among all daemons.
+    nonce: randomUUID(),
+  });
 }
 
 /** Serves `KEYS_PATH`: mints a key for the route of `path` and `method`. */
@@ -182,7 +203,7 @@
   if (!matched) return refuse(state, exchange, 'unknownRoute');
   const owner = pickKeyOwner(state, version, matched.route.service);
   if (!owner) return refuse(state, exchange, 'noUpstream');
-  const key = state.deps.mintKey(owner);
+  const key = mintBoundKey(state, owner);
   count(state.deps.board, 'entry_keys_minted');
   sendJson(exchange, 201, {key}, {[HEADERS.key]: key});
 }
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -9,9 +9,7 @@
   recordEvent,
   type Board,
   type Effect,
-  type MemberRecord,
   type Outcome,
-  type Random,
 } from '../internal.js';
 import type {Attempt} from './attempt.js';
 import type {Forwarder} from './forward.js';
@@ -24,25 +22,13 @@
 /** Refusals recorded on the time line per second; more are only counted. */
 const REFUSAL_EVENTS_PER_S = 20;
 
-/** Parts of a bound key that the entry uses. */
-export interface BoundKeyParts {
-  readonly owner: string;
-}
-
 /** What an entry needs from its daemon. */
 export interface EntryDeps {
   readonly board: Board;
   /** Shared key of the daemons. */
-  readonly key: string;
-  readonly random: Random;
+  readonly peerKey: string;
   /** Monotonic time, ms. */
   now(): number;
-  /** Members of a service in any state; may leave out this daemon. */
-  listMembers(service: string): Iterable<MemberRecord>;
-  /** Mints a key bound to the process of a member. */
-  mintKey(owner: MemberRecord): string;
-  /** Reads a bound key; undefined when it is none or its MAC is wrong. */
-  parseKey(text: string): BoundKeyParts | undefined;
   /** Executes the sends that tell peers of crashes. */
   execute?(effects: Effect[]): void;
   /** Called when a customer request has ended. */
@@ -222,18 +208,6 @@
   recordEvent(board.timeline, 'refused', detail, at);
 }
 
-/** Lists the members of a service, this daemon included. */
-export function* listAll(
-  state: EntryState,
-  service: string,
-): Generator<MemberRecord> {
-  const {self} = state.deps.board;
-  if (self.service === service) yield self;
-  for (const record of state.deps.listMembers(service)) {
-    if (record.id !== self.id) yield record;
-  }
-}
-
 /** Answers with JSON that is not a refusal. */
 export function sendJson(
   exchange: Exchange,
--- a/src/daemon/intake.ts
+++ b/src/daemon/intake.ts
@@ -33,7 +33,7 @@
   readonly timeoutMs: number;
   readonly depth: number;
   readonly budget: number;
-  /** Text of the `idempotency-key` header. */
+  /** Text of the `idempotency-key` header, bound or not. */
   readonly key: string | undefined;
   /** Header names and values to pass on. */
   readonly headers: string[];
@@ -52,7 +52,7 @@
   const depth = parseDepth(readHeader(req, HEADERS.depth));
   const budget = parseBudget(readHeader(req, HEADERS.budget));
   if (depth === undefined || budget === undefined) return 'badRequest';
-  if (depth >= MAX_DEPTH) return 'tooDeep';
+  if (depth > MAX_DEPTH) return 'tooDeep';
   const matched = matchRoute(version.document, method, path);
   if (!matched) return 'unknownRoute';
   const deadline = readHeader(req, HEADERS.deadlineMs);
