Test the mesh under generated faults and in scenarios

Cause: convergence, reunion after partitions, pauses and restarts need proof on one fake clock. What was ruled out: a cluster simulator; the network is one small file of in-memory links, a fake source and a fake list.

--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -8,6 +8,7 @@
   handleBeatMembers,
   handleList,
   handleMembers,
+  handleTick,
   handleWantMembers,
   listMembers,
   mergeRecords,
@@ -245,6 +246,16 @@
   t.is(stateOf(b, 'p'), 'live');
 });
 
+test('a resumed daemon does not blame peers for its own silence', t => {
+  const b = board('me');
+  link(b, 'p');
+  handleTick(b, 0);
+  const effects = handleTick(b, 31_000);
+  const isSilent = (effect: Effect): boolean =>
+    effect.kind === 'close' && effect.reason === 'silent';
+  t.false(effects.some(isSilent));
+});
+
 test('a resumed daemon without peers does not refuse work for ever', t => {
   const b = board('me');
   ticks(b, 0, 1_000);
--- a/__tests__/support/network.ts
+++ b/__tests__/support/network.ts
@@ -12,6 +12,7 @@
   handleSourceError,
   handleSourceReply,
   handleTick,
+  listMembers,
   readRemoteReason,
   TICK_MS,
   type Board,
@@ -247,6 +248,15 @@
     });
   }
 
+  /** True when every running daemon sees exactly the running ones as live. */
+  isMutuallyKnown(): boolean {
+    const ids = this.live().map(node => node.id);
+    return this.live().every(({board}) => {
+      const seen = listMembers(board, {states: ['live']}).map(({id}) => id);
+      return seen.length === ids.length && ids.every(id => seen.includes(id));
+    });
+  }
+
   /** Publishes a whole document as a snapshot. */
   publishSnapshot(version: number, document: Document): void {
     const digest = computeDigest(document);
@@ -285,12 +295,11 @@
     this.call(node, 'tick', now => handleTick(node.board, now));
   }
 
-  /** Calls a controller under the clocks of the daemon, unless it is paused. */
-  private call(
-    node: Node,
-    kind: string,
-    controller: (now: number) => Effect[],
-  ): void {
+  /**
+   * Calls a controller under the clocks of the daemon and executes its effects,
+   * unless the daemon is paused.
+   */
+  call(node: Node, kind: string, controller: (now: number) => Effect[]): void {
     if (!node.alive) return;
     if (node.paused) {
       node.inbox.push(() => this.call(node, kind, controller));
@@ -460,6 +469,12 @@
   }
 
   private reply(node: Node, after: number, index: number): void {
+    // A read that was waiting when the cut or outage began has no answer.
+    if (this.isSourceCut(node) || this.source.down) {
+      return this.after(DIAL_TIMEOUT_MS, () =>
+        this.call(node, 'source', now => handleSourceError(node.board, now)),
+      );
+    }
     const entries = this.entries.filter(
       entry => entry.index > after && entry.index <= index,
     );
