Read the instance list less and pass its news on

Cause: a list of 650 records has about 125 KB; read every 10 s by readers and every 60 s by others it costs 12 and 2 KB/s a daemon, the whole control budget. Readers now read every 60 s, others every 600 s, and news from a list is sent to peers. Ruled out: dropping inc-0 records from the bucket hashes, because then nobody repairs a lost push of them. The skew test compared the boot right after a check by id, which an old record of the same id satisfied; the check now compares boots everywhere, which is stricter and also holds in the generated schedules.

--- a/__tests__/mesh.test.ts
+++ b/__tests__/mesh.test.ts
@@ -225,9 +225,6 @@
       net.runUntil(() => net.isMutuallyKnown(), 10_000),
       undefined,
     );
-    const {boot} = net.get('d1-0').board.self;
-    const seen = net.get('d3-3').board.members.byId.get('d1-0');
-    t.is(seen?.record.boot, boot);
   });
 });
 
--- a/__tests__/support/network.ts
+++ b/__tests__/support/network.ts
@@ -94,7 +94,7 @@
   readonly truth = createConfigState();
   readonly random: Random;
   /** Calls of the configuration service and of the instance list. */
-  readonly calls = {source: 0, list: 0};
+  readonly calls = {source: 0, list: 0, listRecords: 0};
   private readonly clock = FakeTimers.install({
     now: START_MS,
     toFake: ['Date'],
@@ -248,12 +248,13 @@
     });
   }
 
-  /** True when every running daemon sees exactly the running ones as live. */
+  /** True when every running daemon sees exactly the running processes. */
   isMutuallyKnown(): boolean {
-    const ids = this.live().map(node => node.id);
+    const boots = this.live().map(({board}) => board.self.boot);
     return this.live().every(({board}) => {
-      const seen = listMembers(board, {states: ['live']}).map(({id}) => id);
-      return seen.length === ids.length && ids.every(id => seen.includes(id));
+      const live = listMembers(board, {states: ['live']});
+      const seen = new Set(live.map(({boot}) => boot));
+      return seen.size === boots.length && boots.every(boot => seen.has(boot));
     });
   }
 
@@ -491,6 +492,7 @@
       incarnation: 0,
       boot: '',
     }));
+    this.calls.listRecords += records.length;
     this.after(5, () =>
       this.call(node, 'list', now => handleList(node.board, records, now)),
     );
--- a/src/core/instances.ts
+++ b/src/core/instances.ts
@@ -5,11 +5,15 @@
 import {storeRecord, type Member} from './members.js';
 import {listMembers} from './membership.js';
 
-/** Interval of list reads by the first two ranks of a data centre, ms. */
-export const LIST_EVERY_MS = 10_000;
+/**
+ * Mean interval of list reads by the first two ranks of a data centre, ms. At
+ * target a list has about 125 KB, which is 2 KB/s; the readers of all data
+ * centres together still see a change within a few seconds and pass it on.
+ */
+export const LIST_EVERY_MS = 60_000;
 
-/** Interval of list reads by all others, ms. They hear changes from peers. */
-export const LIST_EVERY_OTHERS_MS = 60_000;
+/** Mean interval of list reads by all others, ms. */
+export const LIST_EVERY_OTHERS_MS = 600_000;
 
 /** Merges the instance list. It never marks a member as gone. */
 export function handleList(
@@ -19,11 +23,12 @@
 ): Effect[] {
   const table = board.members;
   const named = new Set(records.map(record => record.id));
+  const isFirst = !table.listSeen;
   table.listSeen = true;
   table.nextListAt = now + computeListInterval(board);
   for (const record of records) {
     if (record.id === board.self.id) noteOwnListing(board, record);
-    else noteListed(board, record, now);
+    else noteListed(board, record, isFirst, now);
   }
   for (const member of table.byId.values()) {
     if (named.has(member.record.id)) continue;
@@ -44,12 +49,21 @@
   announceSelf(board, self.incarnation + 1);
 }
 
-function noteListed(board: Board, listed: MemberRecord, now: number): void {
+function noteListed(
+  board: Board,
+  listed: MemberRecord,
+  isFirst: boolean,
+  now: number,
+): void {
   const state = listed.state === 'leaving' ? 'leaving' : 'live';
   let member = board.members.byId.get(listed.id);
   if (member === undefined) {
     const record = {...listed, incarnation: 0, boot: '', state} as MemberRecord;
-    member = storeRecord(board.members, record, now);
+    // Others read the list rarely, so news is passed on; a daemon that has just
+    // started has no news.
+    member = isFirst
+      ? storeRecord(board.members, record, now)
+      : changeRecord(board, record, now);
   }
   const before = member.listState;
   member.listed = true;
--- a/src/core/members.ts
+++ b/src/core/members.ts
@@ -13,7 +13,7 @@
   heardAt: number;
   /** Monotonic time at which the record took its present state, ms. */
   changedAt: number;
-  /** True while the instance list names it. */
+  /** False once a list that was read here does not name it. */
   listed: boolean;
   /** State in the newest list that named it. */
   listState?: 'live' | 'leaving';
@@ -134,7 +134,7 @@
       record,
       heardAt: now,
       changedAt: now,
-      listed: false,
+      listed: true,
       probe: false,
       dialFailures: 0,
       nextDialAt: 0,
