--- a/__tests__/support/naive_config.ts
+++ b/__tests__/support/naive_config.ts
@@ -1,57 +1,53 @@
 import {
   applyEntries,
   computeDigest,
+  createBoard,
   createConfigState,
+  createRandom,
+  handleList,
   makePatch,
+  type Board,
   type ConfigState,
   type Document,
   type Entry,
+  type MemberRecord,
   type Version,
 } from '../../src/internal.js';
+import {createDocument} from './documents.js';
 
-/** Document with two data centres, one service and one route. */
-export function exampleDocument(): Document {
-  return {
-    dataCentres: {
-      d1: {region: 'r1', state: 'in'},
-      d2: {region: 'r1', state: 'in'},
-    },
-    services: {
-      s1: {
-        slots: 4,
-        connections: 8,
-        dataCentres: ['d1', 'd2'],
-        downloadShare: 0.5,
-        expectedMs: 50,
-      },
-    },
-    routes: {
-      r1: {
-        pathPrefix: '/a',
-        methods: ['GET'],
-        service: 's1',
-        idempotent: true,
-        priority: 'read',
-        timeoutMs: 1_000,
-      },
-    },
-  };
+/** Daemon that watches one key and applies each document as it arrives. */
+export interface NaiveDaemon {
+  version: number;
+  document?: Document;
 }
 
-/** Copy of a document with another slot count of its service. */
+/** Applies a whole document as it arrives, without any check. */
+export function applyNaively(
+  daemon: NaiveDaemon,
+  delivery: {version: number; document: Document},
+): void {
+  daemon.version = delivery.version;
+  daemon.document = delivery.document;
+}
+
+/** Copy of a document with another slot count of its first service. */
 export function withSlots(document: Document, slots: number): Document {
   const copy = structuredClone(document);
-  copy.services.s1.slots = slots;
+  copy.services.s0.slots = slots;
   return copy;
 }
 
-/** Stand-in of the configuration service: an append-only series of entries. */
-export class Platform {
-  entries: Entry[] = [];
-  /** The fold over the whole series, against which daemons are compared. */
+/** Append-only series of entries, and the fold over the whole of it. */
+export class Series {
+  readonly entries: Entry[] = [];
   readonly reference: ConfigState = createConfigState();
-  /** Digest of every version that the whole series accepts. */
-  readonly accepted = new Map<number, string>();
+
+  /** Starts with as many versions, which have 1, 2, ... slots. */
+  constructor(versions = 1) {
+    const first = withSlots(createDocument(['d1', 'd2'], 1, 1), 1);
+    this.publishSnapshot(1, first);
+    for (let n = 2; n <= versions; n++) this.publishSlots(n);
+  }
 
   get version(): Version {
     return this.reference.current!;
@@ -61,43 +57,39 @@
     const prev = this.reference.index;
     const entry = {index: prev + 1, prev, kind, value: structuredClone(value)};
     this.entries.push(entry);
-    for (const {version, digest} of applyEntries(this.reference, [entry])
-      .accepted) {
-      this.accepted.set(version, digest);
-    }
+    applyEntries(this.reference, [entry]);
     return entry;
   }
 
-  /** Publishes a whole document as the next version or as a given one. */
   publishSnapshot(version: number, document: Document): Entry {
     const digest = computeDigest(document);
     const author = 'op';
     return this.publish('snapshot', {version, digest, document, author});
   }
 
-  publishPatch(base: Version, next: Document): Entry {
+  publishSlots(slots: number, base = this.version): Entry {
+    const next = withSlots(base.document, slots);
     return this.publish('patch', makePatch(base, next, 'op'));
   }
+}
 
-  reply(after: number, upTo = this.reference.index) {
-    const entries = this.entries.filter(
-      ({index}) => index > after && index <= upTo,
-    );
-    return {index: upTo, entries: structuredClone(entries)};
-  }
+/** Board of a daemon that knows other daemons; ids below `x` are in `d1`. */
+export function createPeer(id: string, others: readonly string[]): Board {
+  const board = createBoard(createRecord(id), createRandom(7), 0);
+  handleList(board, others.map(createRecord), 0);
+  return board;
 }
 
-/** Daemon that watches one key and applies each document as it arrives. */
-export interface NaiveDaemon {
-  version: number;
-  document?: Document;
+function createRecord(id: string): MemberRecord {
+  const dataCentre = id < 'x' ? 'd1' : 'd2';
+  const place = {dataCentre, region: 'r1', service: 's0', host: '127.0.0.1'};
+  const ports = {customerPort: 1, peerPort: 2};
+  return {id, incarnation: 0, boot: '', ...place, ...ports, state: 'live'};
 }
 
-/** Applies a whole document as it arrives, without any check. */
-export function applyNaively(
-  daemon: NaiveDaemon,
-  delivery: {version: number; document: Document},
-): void {
-  daemon.version = delivery.version;
-  daemon.document = delivery.document;
+/** Links a board to peers. */
+export function link(board: Board, ...peers: string[]): void {
+  for (const peer of peers) {
+    board.links.set(peer, {peer, dialled: true, upAt: 0, heardAt: 0});
+  }
 }
--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -190,15 +190,11 @@
 /** Moves past an entry and keeps it for peers while it fits the log. */
 function keepEntry(state: ConfigState, entry: Entry): void {
   const size = measureJson(entry.value);
-  const position = {...getPosition(state), index: entry.prev};
-  state.index = entry.index;
-  if (!size.ok || size.value > LOG_BYTES) {
-    clearLog(state);
-    return;
-  }
+  const bytes = size.ok ? size.value : LOG_BYTES + 1;
+  state.marks.push({...getPosition(state), index: entry.prev, bytes});
   state.log.push(entry);
-  state.marks.push({...position, bytes: size.value});
-  let total = state.marks.reduce((sum, {bytes}) => sum + bytes, 0);
+  state.index = entry.index;
+  let total = state.marks.reduce((sum, mark) => sum + mark.bytes, 0);
   while (state.log.length > LOG_ENTRIES || total > LOG_BYTES) {
     total -= state.marks[0].bytes;
     state.log.shift();
