Locate faults of values that are no JSON data

A fault found before the schema check did not say where it was. Text with lone surrogates or replacement characters is refused, because msgpackr changes the first into the second and daemons would judge different values.

--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -6,14 +6,9 @@
 } from '../types/document.js';
 import {MESSAGES} from '../types/messages.js';
 import {count, type Board} from './blackboard.js';
+import {measureJson, type Checked} from './json.js';
 import {recordEvent} from './timeline.js';
-import {
-  checkDocument,
-  createVersion,
-  judgeEntry,
-  measureJson,
-  type Checked,
-} from './versions.js';
+import {checkDocument, createVersion, judgeEntry} from './versions.js';
 
 /** Entries kept to serve peers that are behind. */
 export const LOG_ENTRIES = 256;
--- /dev/null
+++ b/src/core/json.ts
@@ -0,0 +1,105 @@
+/** Largest value of one entry, bytes of JSON; the platform's own limit. */
+export const MAX_VALUE_BYTES = 1_048_576;
+
+/**
+ * Deepest nesting of a value. Recursion would fail at a depth that depends on
+ * the stack in use, so that daemons could judge the same entry differently.
+ */
+const MAX_DEPTH = 32;
+
+/** Faults reported per check; a reason is cut at 500 characters anyway. */
+const MAX_FAULTS = 20;
+
+/**
+ * Keys that are refused in any value. msgpackr renames the first to the second
+ * in transit, so a reader and its peers would judge different values.
+ */
+const BANNED_KEYS: readonly string[] = ['__proto__', '__proto_'];
+
+/**
+ * Text that changes in transit between daemons: a lone surrogate becomes the
+ * replacement character in UTF-8, so both are refused.
+ */
+const UNSTABLE_TEXT = /\p{Cs}|\ufffd/u;
+
+/** Result of a check: the value, or one line per fault. */
+export type Checked<T> = {ok: true; value: T} | {ok: false; faults: string[]};
+
+/** Result of a check that found faults. */
+export function refuse(...faults: string[]): {ok: false; faults: string[]} {
+  return {ok: false, faults: faults.slice(0, MAX_FAULTS)};
+}
+
+/** Size of JSON data in bytes, or the fault that makes it no JSON data. */
+export function measureJson(value: unknown): Checked<number> {
+  const fault = findJsonFault(value);
+  if (fault !== undefined) return refuse(fault);
+  const text = JSON.stringify(value);
+  return {ok: true, value: Buffer.byteLength(text)};
+}
+
+interface Part {
+  readonly value: unknown;
+  readonly depth: number;
+  readonly key: string;
+  readonly parent?: Part;
+}
+
+function findJsonFault(value: unknown): string | undefined {
+  const stack: Part[] = [{value, depth: 0, key: ''}];
+  let units = 0;
+  for (let part = stack.pop(); part; part = stack.pop()) {
+    // Every part and character takes at least a byte. Shared references could
+    // make a small value too large to write out and measure.
+    units += typeof part.value === 'string' ? part.value.length : 1;
+    if (units > MAX_VALUE_BYTES) return '(root): value is above 1 MB';
+    const fault = findPartFault(part);
+    if (fault !== undefined) return `${locate(part)}: ${fault}`;
+    if (typeof part.value !== 'object' || part.value === null) continue;
+    for (const [key, field] of Object.entries(part.value)) {
+      if (field === undefined) continue;
+      stack.push({value: field, depth: part.depth + 1, key, parent: part});
+    }
+  }
+  return undefined;
+}
+
+function findPartFault({value, depth, key}: Part): string | undefined {
+  if (depth > MAX_DEPTH) return `nested deeper than ${MAX_DEPTH}`;
+  if (BANNED_KEYS.includes(key)) return 'key is not allowed';
+  if (UNSTABLE_TEXT.test(key)) return 'key is not valid Unicode';
+  if (typeof value === 'object' && value !== null) {
+    return isPlain(value) ? undefined : 'not JSON data';
+  }
+  if (typeof value === 'string') {
+    return UNSTABLE_TEXT.test(value) ? 'not valid Unicode' : undefined;
+  }
+  return isScalar(value) ? undefined : 'not JSON data';
+}
+
+function locate(part: Part): string {
+  const path: string[] = [];
+  let at = part;
+  for (; at.parent; at = at.parent) path.unshift(at.key);
+  // The first steps suffice to find a part that is nested too deeply.
+  return formatPointer(path.slice(0, 8));
+}
+
+function isPlain(value: object): boolean {
+  if (Array.isArray(value)) return true;
+  const prototype: unknown = Object.getPrototypeOf(value);
+  return prototype === Object.prototype || prototype === null;
+}
+
+function isScalar(value: unknown): boolean {
+  if (typeof value === 'number') return Number.isFinite(value);
+  return value === null || typeof value === 'boolean';
+}
+
+/** JSON pointer of a path, as patches use it; `(root)` for the whole value. */
+export function formatPointer(path: readonly PropertyKey[]): string {
+  const steps = path.map(
+    step => `/${String(step).replaceAll('~', '~0').replaceAll('/', '~1')}`,
+  );
+  return steps.join('') || '(root)';
+}
--- a/src/core/relay.ts
+++ b/src/core/relay.ts
@@ -12,10 +12,10 @@
   type FoldOptions,
   type FoldResult,
 } from './config.js';
+import {MAX_VALUE_BYTES, measureJson} from './json.js';
 import {isConflict, isNewer, isOnOtherLine, noteConflict} from './lines.js';
 import {noteSourceAge} from './source_age.js';
 import {recordEvent} from './timeline.js';
-import {MAX_VALUE_BYTES, measureJson} from './versions.js';
 import {
   askIfBehind,
   AVOID_MS,
--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -11,9 +11,13 @@
 } from '../types/document.js';
 import {BerylbendError} from '../types/errors.js';
 import {computeDigest} from '../utils/digest.js';
-
-/** Largest value of one entry, bytes of JSON; the platform's own limit. */
-export const MAX_VALUE_BYTES = 1_048_576;
+import {
+  formatPointer,
+  MAX_VALUE_BYTES,
+  measureJson,
+  refuse,
+  type Checked,
+} from './json.js';
 
 /**
  * Largest document, bytes of JSON. Patches can grow a document beyond what one
@@ -21,79 +25,12 @@
  */
 export const MAX_DOCUMENT_BYTES = 1_000_000;
 
-/**
- * Deepest nesting of a value. Recursion would fail at a depth that depends on
- * the stack in use, so that daemons could judge the same entry differently.
- */
-const MAX_DEPTH = 32;
-
-/** Faults reported per check; a reason is cut at 500 characters anyway. */
-const MAX_FAULTS = 20;
-
-/**
- * Keys that are refused in any value. msgpackr renames the first to the second
- * in transit, so a reader and its peers would judge different values.
- */
-const BANNED_KEYS: readonly string[] = ['__proto__', '__proto_'];
-
-/** Result of a check: the value, or one line per fault. */
-export type Checked<T> = {ok: true; value: T} | {ok: false; faults: string[]};
-
-function refuse(...faults: string[]): {ok: false; faults: string[]} {
-  return {ok: false, faults: faults.slice(0, MAX_FAULTS)};
-}
-
-/** Size of JSON data in bytes, or the fault that makes it no JSON data. */
-export function measureJson(value: unknown): Checked<number> {
-  const fault = findJsonFault(value);
-  if (fault !== undefined) return refuse(fault);
-  const text = JSON.stringify(value);
-  return {ok: true, value: Buffer.byteLength(text)};
-}
-
-function findJsonFault(root: unknown): string | undefined {
-  const stack: {value: unknown; depth: number}[] = [{value: root, depth: 0}];
-  let units = 0;
-  for (let item = stack.pop(); item; item = stack.pop()) {
-    const {value, depth} = item;
-    // Every part and character takes at least a byte. Shared references could
-    // make a small value too large to write out and measure.
-    units += typeof value === 'string' ? value.length : 1;
-    if (units > MAX_VALUE_BYTES) return 'value is above 1 MB';
-    if (depth > MAX_DEPTH) return `value is nested deeper than ${MAX_DEPTH}`;
-    if (typeof value === 'object' && value !== null) {
-      if (!isPlain(value)) return 'value is not JSON data';
-      for (const [key, field] of Object.entries(value)) {
-        if (BANNED_KEYS.includes(key)) return `key ${key} is not allowed`;
-        if (field === undefined) continue;
-        stack.push({value: field, depth: depth + 1});
-      }
-    } else if (!isScalar(value)) {
-      return 'value is not JSON data';
-    }
-  }
-  return undefined;
-}
-
-function isPlain(value: object): boolean {
-  if (Array.isArray(value)) return true;
-  const prototype: unknown = Object.getPrototypeOf(value);
-  return prototype === Object.prototype || prototype === null;
-}
-
-function isScalar(value: unknown): boolean {
-  if (typeof value === 'number') return Number.isFinite(value);
-  return (
-    value === null || typeof value === 'string' || typeof value === 'boolean'
-  );
-}
-
 /** Checks a document: schema first, then the whole reference graph. */
 export function checkDocument(value: unknown): Checked<Document> {
   const size = measureJson(value);
   if (!size.ok) return size;
   if (size.value > MAX_DOCUMENT_BYTES) {
-    return refuse(`document has ${size.value} bytes of JSON, over the limit`);
+    return refuse(`(root): ${size.value} bytes of JSON are over the limit`);
   }
   const parsed = documentSchema.safeParse(value);
   if (!parsed.success) return refuse(...formatIssues(parsed.error));
@@ -108,14 +45,6 @@
   );
 }
 
-/** JSON pointer of a path, as patches use it; `(root)` for the whole value. */
-function formatPointer(path: readonly PropertyKey[]): string {
-  const steps = path.map(
-    step => `/${String(step).replaceAll('~', '~0').replaceAll('/', '~1')}`,
-  );
-  return steps.join('') || '(root)';
-}
-
 function findGraphFaults(document: Document): string[] {
   return [
     ...findReservedNames(document),
@@ -151,8 +80,7 @@
 function findRouteFaults(document: Document): string[] {
   const faults: string[] = [];
   for (const [name, route] of Object.entries(document.routes)) {
-    // Request paths are ASCII on the wire. Text that is no valid Unicode
-    // changes in transit between daemons and would give differing digests.
+    // Request paths are ASCII on the wire, so another prefix never matches.
     if (!/^[\x21-\x7e]*$/.test(route.pathPrefix)) {
       faults.push(`/routes/${name}/pathPrefix: only printable ASCII`);
     }
@@ -197,7 +125,7 @@
   const size = measureJson(entry.value);
   if (!size.ok) return size;
   if (size.value > MAX_VALUE_BYTES) {
-    return refuse('value is above 1 MB');
+    return refuse('(root): value is above 1 MB');
   }
   if (entry.kind === 'snapshot') return judgeSnapshot(current, entry);
   if (entry.kind === 'patch') return judgePatch(current, entry);
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -14,6 +14,7 @@
 export * from './utils/hlc.js';
 export * from './utils/auth.js';
 export * from './core/timeline.js';
+export * from './core/json.js';
 export * from './core/versions.js';
 export * from './core/config.js';
 export * from './core/source_age.js';
