--- a/__tests__/owner.test.ts
+++ b/__tests__/owner.test.ts
@@ -7,7 +7,7 @@
   type OwnerRig,
   type Reply,
 } from './support/owner_rig.js';
-import {UpstreamFake} from './support/upstream_fake.js';
+import {FLOOD_BYTES, UpstreamFake} from './support/upstream_fake.js';
 
 // Deadlines and probes run on this clock; sockets need the real setImmediate.
 const clock = install({toFake: ['setTimeout', 'clearTimeout']});
@@ -277,6 +277,23 @@
   );
 }
 
+test.serial('a customer who reads slowly fills the memory', t =>
+  withOwner(async rig => {
+    let resume = () => {};
+    const pause = new Promise<void>(resolve => (resume = resolve));
+    const reply = rig.send('slow', {path: '/flood', pause});
+    let still = 0;
+    for (let last = 0; still < 500; last = rig.fake.flooded) {
+      await new Promise(resolve => setImmediate(resolve));
+      still = last > 0 && last === rig.fake.flooded ? still + 1 : 0;
+    }
+    t.true(rig.fake.flooded < FLOOD_BYTES);
+    resume();
+    const {body, cut} = await reply;
+    t.deepEqual([body.length, cut], [FLOOD_BYTES, false]);
+  }),
+);
+
 test.serial('a stop cuts running work or takes new work', t =>
   withOwner(async rig => {
     await warm(rig);
--- a/__tests__/support/owner_rig.ts
+++ b/__tests__/support/owner_rig.ts
@@ -46,11 +46,15 @@
   body?: string;
   key?: string;
   deadlineMs?: string;
+  /** Text that the fingerprint is made of; the id when absent. */
+  print?: string;
   /** Headers set after signing. */
   headers?: Record<string, string>;
   signal?: AbortSignal;
   /** Called with the first bytes of the body. */
   onData?: () => void;
+  /** Reading stops at the first bytes until this resolves. */
+  pause?: Promise<void>;
 }
 
 /** Owner on a loopback port in front of a fake upstream. */
@@ -83,6 +87,7 @@
   clock: Clock,
   fake: UpstreamFake,
   boot: string = SELF.boot,
+  skewMs = 0,
 ): Promise<OwnerRig> {
   const self = {...SELF, boot};
   const board = createBoard(self, createRandom(1), clock.now);
@@ -94,7 +99,7 @@
     upstream: createUpstream(fake.url, 6),
     reportCrash: fingerprints => crashes.push(fingerprints),
     now: () => clock.now,
-    wallAtStart: 1e12 + clock.now,
+    wallAtStart: 1e12 + clock.now + skewMs,
   });
   const server = createServer(owner);
   server.listen(0, '127.0.0.1');
@@ -122,7 +127,9 @@
 /** Sends as an entry would. */
 function forward(port: number, id: string, options: Send): Promise<Reply> {
   const {key, deadlineMs = '5000', path = '/ok', signal} = options;
-  const fingerprint = Buffer.from(id.padEnd(8)).toString('hex').slice(0, 64);
+  const fingerprint = Buffer.from((options.print ?? id).padEnd(8))
+    .toString('hex')
+    .slice(0, 64);
   const mac = sign(PEER_KEY, id, 'all', fingerprint, key ?? '', deadlineMs);
   const headers: Record<string, string> = {
     [HEADERS.id]: id,
@@ -155,6 +162,10 @@
         body += String(chunk);
         options.onData?.();
       });
+      if (options.pause) {
+        res.once('data', () => res.pause());
+        void options.pause.then(() => res.resume());
+      }
       res.on('close', end);
     });
     req.end(options.body ?? '');
--- a/__tests__/support/upstream_fake.ts
+++ b/__tests__/support/upstream_fake.ts
@@ -15,12 +15,21 @@
   state: 'running' | 'finished' | 'cancelled';
 }
 
+/** Size of the answer of `/flood`, more than the sockets on its way hold. */
+export const FLOOD_BYTES = 67_108_864;
+
 type Reply = (res: ServerResponse, fake: UpstreamFake) => unknown;
 
 const REPLIES: Record<string, Reply> = {
   '/ok': res => res.end('answer'),
   '/hold': (res, fake) => fake.held.push(() => res.end('answer')),
   '/big': res => res.end(Buffer.alloc(4_000_000, 'x')),
+  '/flood': async (res, fake) => {
+    for (; fake.flooded < FLOOD_BYTES; fake.flooded += 65_536) {
+      if (!res.write(Buffer.alloc(65_536, 'x'))) await once(res, 'drain');
+    }
+    res.end();
+  },
   '/shed': res => res.writeHead(503, {'berylbend-shed': 'not-run'}).end(),
   '/reset': res => res.destroy(),
   '/cut': res => {
@@ -44,6 +53,8 @@
   readonly ledger: LedgerEntry[] = [];
   /** Ends the answers of `/hold`, `/chunks` and `/unframed`, oldest first. */
   readonly held: Array<() => unknown> = [];
+  /** Bytes written by `/flood`. */
+  flooded = 0;
   running = 0;
   mostRunning = 0;
   port = 0;
@@ -76,7 +87,7 @@
   private serve(req: IncomingMessage, res: ServerResponse): void {
     const path = req.url ?? '';
     if (path === '/health') return void res.end('ok');
-    if (path === '/shed') return void REPLIES['/shed'](res, this);
+    if (path.startsWith('/shed')) return void REPLIES['/shed'](res, this);
     const id = String(req.headers['berylbend-id']);
     const {headers} = req;
     const entry: LedgerEntry = {id, path, headers, state: 'running'};
