--- a/__tests__/support/owner_rig.ts
+++ b/__tests__/support/owner_rig.ts
@@ -46,11 +46,15 @@
   body?: string;
   key?: string;
   deadlineMs?: string;
+  /** Text that the fingerprint is made of; the id when absent. */
+  print?: string;
   /** Headers set after signing. */
   headers?: Record<string, string>;
   signal?: AbortSignal;
   /** Called with the first bytes of the body. */
   onData?: () => void;
+  /** Reading stops at the first bytes until this resolves. */
+  pause?: Promise<void>;
 }
 
 /** Owner on a loopback port in front of a fake upstream. */
@@ -67,7 +71,7 @@
 
 /** Puts a version in force that names one service and one data centre. */
 export function putInForce(board: Board, state: 'in' | 'out'): void {
-  const service = {slots: 4, connections: 4, dataCentres: ['dc-1']};
+  const service = {slots: 6, connections: 6, dataCentres: ['dc-1']};
   const route = {pathPrefix: '/', methods: ['GET', 'POST'], service: 'orders'};
   const document = documentSchema.parse({
     dataCentres: {'dc-1': {region: 'north', state}},
@@ -83,6 +87,7 @@
   clock: Clock,
   fake: UpstreamFake,
   boot: string = SELF.boot,
+  skewMs = 0,
 ): Promise<OwnerRig> {
   const self = {...SELF, boot};
   const board = createBoard(self, createRandom(1), clock.now);
@@ -91,10 +96,10 @@
   const owner = createOwner({
     board,
     peerKey: PEER_KEY,
-    upstream: createUpstream(fake.url, 4),
+    upstream: createUpstream(fake.url, 6),
     reportCrash: fingerprints => crashes.push(fingerprints),
     now: () => clock.now,
-    wallAtStart: 1e12 + clock.now,
+    wallAtStart: 1e12 + clock.now + skewMs,
   });
   const server = createServer(owner);
   server.listen(0, '127.0.0.1');
@@ -122,7 +127,9 @@
 /** Sends as an entry would. */
 function forward(port: number, id: string, options: Send): Promise<Reply> {
   const {key, deadlineMs = '5000', path = '/ok', signal} = options;
-  const fingerprint = Buffer.from(id.padEnd(8)).toString('hex').slice(0, 64);
+  const fingerprint = Buffer.from((options.print ?? id).padEnd(8))
+    .toString('hex')
+    .slice(0, 64);
   const mac = sign(PEER_KEY, id, 'all', fingerprint, key ?? '', deadlineMs);
   const headers: Record<string, string> = {
     [HEADERS.id]: id,
@@ -155,6 +162,10 @@
         body += String(chunk);
         options.onData?.();
       });
+      if (options.pause) {
+        res.once('data', () => res.pause());
+        void options.pause.then(() => res.resume());
+      }
       res.on('close', end);
     });
     req.end(options.body ?? '');
