Add the scenario language and a runner on separate processes

A step or field that is not known is an error, so that a mistake in a file is not skipped. The checks are shared by both runners. Separate processes cannot be cut off from each other or get another clock on one machine, so files with cut, heal or skew are reported as skipped there.

Also splits the upstream stand-in into short functions over one state, and lets the fleet fold what it publishes, so that bad patches can be published.

--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -2,8 +2,9 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
-  checkDocument,
+  applyEntries,
   computeDigest,
+  createConfigState,
   makePatch,
   settingsSchema,
   type Document,
@@ -48,8 +49,11 @@
 
 /** Status of a daemon as far as the fleet reads it. */
 export interface FleetStatus {
-  version: {version: number; digest: string} | null;
+  version: {version: number; digest: string; confirmed: boolean} | null;
+  viewStale: boolean;
   links: string[];
+  /** Load of the upstream as its owner sees it. */
+  upstream?: {limit: number; inFlight: number; cold: boolean};
   refusals: Array<{index: number; reason: string}>;
   members: Record<string, Record<string, string[]>>;
 }
@@ -61,8 +65,10 @@
   readonly ledger: Ledger;
   readonly instances: readonly Instance[];
   get(id: string): Instance;
-  /** Newest published version. */
+  /** Version that the published series leads to. */
   version(): Version;
+  /** Publishes an entry as it is, valid or not. */
+  publishEntry(kind: string, value: unknown): void;
   /** Publishes a patch from the newest version to a changed copy of it. */
   publish(note: string, change: (document: Document) => void): Version;
   /** Waits until a condition holds; throws with its name after a limit. */
@@ -88,7 +94,8 @@
   const list = createInstanceList();
   const ledger = createLedger();
   const instances: Instance[] = [];
-  let version = createFirstVersion(options.document);
+  // The fold that every daemon should arrive at.
+  const truth = createConfigState();
 
   // Covers an exit without stop(), so that no daemon outlives this process.
   const killAll = () => {
@@ -100,11 +107,10 @@
   async function start(): Promise<void> {
     const configUrl = await config.listen();
     const listUrl = await list.listen();
-    const {digest, document} = version;
-    config.publish('snapshot', {
-      version: version.version,
-      digest,
-      document,
+    publishEntry('snapshot', {
+      version: 1,
+      digest: computeDigest(options.document),
+      document: options.document,
       author: 'fleet',
       note: 'first version',
     });
@@ -150,17 +156,23 @@
     return found;
   }
 
+  function version(): Version {
+    if (!truth.current) throw new Error('the first version is refused');
+    return truth.current;
+  }
+
+  function publishEntry(kind: string, value: unknown): void {
+    applyEntries(truth, [config.publish(kind, value)]);
+  }
+
   function publish(
     note: string,
     change: (document: Document) => void,
   ): Version {
-    const next = structuredClone(version.document);
+    const next = structuredClone(version().document);
     change(next);
-    const patch = makePatch(version, next, 'fleet', note);
-    const {index} = config.publish('patch', patch);
-    const digest = computeDigest(next);
-    version = {version: version.version + 1, digest, index, document: next};
-    return version;
+    publishEntry('patch', makePatch(version(), next, 'fleet', note));
+    return version();
   }
 
   async function waitFor(
@@ -200,14 +212,15 @@
   }
 
   async function waitVersion(limitMs: number): Promise<number> {
+    const {version: wanted, digest} = version();
     return waitFor(
-      `version ${version.version} is in force everywhere`,
+      `version ${wanted} is in force everywhere`,
       async () => {
         const all = await Promise.all(running().map(i => readStatus(i.id)));
         return all.every(
           status =>
-            status?.version?.version === version.version &&
-            status.version.digest === version.digest,
+            status?.version?.version === wanted &&
+            status.version.digest === digest,
         );
       },
       limitMs,
@@ -256,7 +269,8 @@
     ledger,
     instances,
     get,
-    version: () => version,
+    version,
+    publishEntry,
     publish,
     waitFor,
     waitReady,
@@ -267,13 +281,6 @@
   };
 }
 
-function createFirstVersion(value: Document): Version {
-  const checked = checkDocument(value);
-  if (!checked.ok) throw new Error(checked.faults.join('; '));
-  const document = checked.value;
-  return {version: 1, digest: computeDigest(document), index: 1, document};
-}
-
 function createRecord(settings: Settings): MemberRecord {
   const {id, dataCentre, region, service, listen} = settings;
   const {host, customerPort, peerPort} = listen;
--- /dev/null
+++ b/standins/scenario_load.ts
@@ -0,0 +1,105 @@
+import {HEADERS, KEYS_PATH, type Random} from '../src/internal.js';
+import type {Customer, CustomerRequest} from './customer.js';
+import type {Fleet} from './fleet.js';
+import type {StepArgs} from './scenario.js';
+
+/** Time between two sendings of one operation, ms. */
+const REPEAT_AFTER_MS = 700;
+
+/** A scenario that runs on separate processes. */
+export interface Run {
+  readonly fleet: Fleet;
+  readonly customer: Customer;
+  readonly random: Random;
+  readonly counts: {
+    sent: number;
+    answered: number;
+    refused: number;
+    unclear: number;
+    reasons: Record<string, number>;
+  };
+  readonly paused: Set<string>;
+  readonly timers: Set<NodeJS.Timeout>;
+  callsPerSecond: number[];
+  select(which: readonly string[]): string[];
+}
+
+/** Waits for a time. */
+export function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** Starts a load that goes on while the steps that follow run. */
+export function startLoad(run: Run, load: StepArgs<'load'>): void {
+  const entries = run.select(load.at);
+  let left = Math.round((load.perSecond * load.for) / 1_000);
+  const timer = setInterval(() => {
+    if (left-- <= 0) {
+      clearInterval(timer);
+      return;
+    }
+    const operation = `${load.path}#${run.counts.sent}`;
+    void sendOperation(run, load, entries, operation);
+  }, 1_000 / load.perSecond);
+  run.timers.add(timer);
+}
+
+/** Customers skip entries that they cannot reach. */
+function pickUrl(run: Run, entries: readonly string[]): string | undefined {
+  const usable = entries
+    .filter(id => !run.paused.has(id))
+    .map(id => run.fleet.get(id).daemon)
+    .filter(daemon => daemon.isRunning());
+  return usable[Math.floor(run.random() * usable.length)]?.customerUrl;
+}
+
+async function sendOperation(
+  run: Run,
+  {path, method, repeats}: StepArgs<'load'>,
+  entries: readonly string[],
+  operation: string,
+): Promise<void> {
+  const req: CustomerRequest = {
+    path: `${path}?op=${encodeURIComponent(operation)}`,
+    method,
+    body: method === 'POST' ? '{}' : undefined,
+  };
+  if (repeats === 0) return sendCounted(run, entries, req);
+  const url = pickUrl(run, entries);
+  if (!url) return;
+  try {
+    const minted = await run.customer.send(url, {
+      path: `${KEYS_PATH}?path=${path}&method=${method}`,
+      method: 'POST',
+    });
+    if (!minted.key) return;
+    req.headers = {[HEADERS.key]: minted.key};
+  } catch {
+    return;
+  }
+  for (let i = 0; i <= repeats; i++) {
+    void sendCounted(run, entries, req);
+    await pause(REPEAT_AFTER_MS);
+  }
+}
+
+async function sendCounted(
+  run: Run,
+  entries: readonly string[],
+  req: CustomerRequest,
+): Promise<void> {
+  const {counts} = run;
+  const url = pickUrl(run, entries);
+  if (!url) return;
+  counts.sent++;
+  try {
+    const {verdict, reason} = await run.customer.send(url, req);
+    if (verdict === 'ran') counts.answered++;
+    else if (verdict === 'not-run') {
+      counts.refused++;
+      counts.reasons[reason] = (counts.reasons[reason] ?? 0) + 1;
+    } else counts.unclear++;
+  } catch {
+    counts.unclear++;
+  }
+}
--- a/standins/upstream.ts
+++ b/standins/upstream.ts
@@ -10,43 +10,21 @@
 import {createLagging} from './lagging.js';
 import {createLedger, type Ledger, type Run} from './ledger.js';
 import {startTransfer} from './transfer.js';
-import {createWarmth, type ColdStart} from './warmth.js';
-
-/** Options of an upstream stand-in; the defaults are those of deployment 1. */
-export interface UpstreamOptions {
-  id: string;
-  slots?: number;
-  connections?: number;
-  /** Work that a new connection costs, one connection at a time, ms. */
-  connectionCostMs?: number;
-  serviceMs?: number;
-  cold?: Partial<ColdStart>;
-  /** Delay of the health and load endpoints, ms. */
-  lagMs?: number;
-  /** Time until a crashed upstream listens again, ms; 0 for on command only. */
-  restartMs?: number;
-  ledger?: Ledger;
-}
-
-/** Figures of an upstream; `/load` answers them late. */
-export interface UpstreamLoad {
-  slots: number;
-  running: number;
-  connections: number;
-  cold: boolean;
-}
+import {
+  COLD_DEFAULTS,
+  DEFAULTS,
+  finish,
+  noteState,
+  readLoad,
+  type State,
+  type UpstreamCounts,
+  type UpstreamLoad,
+  type UpstreamOptions,
+  type Work,
+} from './upstream_state.js';
+import {createWarmth} from './warmth.js';
 
-/** Counters of an upstream since it was created. */
-export interface UpstreamCounts {
-  requests: number;
-  shed: number;
-  crashes: number;
-  /** Crashes of a cold upstream under too much load. */
-  fallOvers: number;
-  refusedConnections: number;
-  /** Most requests running at once. */
-  peakRunning: number;
-}
+export type {UpstreamOptions} from './upstream_state.js';
 
 /** Handle of an upstream stand-in. */
 export interface Upstream {
@@ -70,253 +48,235 @@
   close(): Promise<void>;
 }
 
-interface Work {
-  readonly run: Run;
-  readonly res: ServerResponse;
-  /** Ends the work early or on completion; frees the slot. */
-  finish(outcome: Run['outcome']): boolean;
-}
-
 /** Creates an upstream with slots, cold start, shedding and a ledger. */
 export function createUpstream(options: UpstreamOptions): Upstream {
-  const {
-    id,
-    slots = 12,
-    connections = 110,
-    connectionCostMs = 1,
-    serviceMs = 20,
-    lagMs = 500,
-    restartMs = 0,
-    ledger = createLedger(),
-  } = options;
-  const warmth = createWarmth(slots, {
-    slots: 2,
-    slowdown: 4,
-    warmAfterRuns: 40,
-    fallOverAt: slots,
-    ...options.cold,
-  });
-  const counts: UpstreamCounts = {
-    requests: 0,
-    shed: 0,
-    crashes: 0,
-    fallOvers: 0,
-    refusedConnections: 0,
-    peakRunning: 0,
+  const state = createState(options);
+  return {
+    id: options.id,
+    ledger: state.ledger,
+    counts: state.counts,
+    load: () => readLoad(state),
+    drain: (draining = true) => {
+      state.draining = draining;
+      noteState(state);
+    },
+    stall: (stalled = true) => {
+      state.stalling = stalled;
+      if (!stalled) for (const release of state.held.splice(0)) release();
+    },
+    chill: () => {
+      state.warmth.chill();
+      noteState(state);
+    },
+    setHealth: status => {
+      state.fixedHealth = status;
+    },
+    crash: () => crash(state),
+    restart: () => restart(state),
+    isUp: () => state.up,
+    listen: port => listen(state, port),
+    url: state.server.url,
+    close: () => close(state),
   };
-  const working = new Set<Work>();
-  const stalled: Array<() => void> = [];
-  const acceptedAt = new WeakMap<Socket, number>();
-  let nextAcceptAt = 0;
-  let up = false;
-  let draining = false;
-  let stalling = false;
-  let fixedHealth: string | undefined;
-  let restartTimer: NodeJS.Timeout | undefined;
+}
 
-  const server = createHttpServer(handle, (socket, open) => {
-    if (open > connections) {
-      counts.refusedConnections++;
-      socket.destroy();
-      return;
-    }
-    // New connections are set up one after another, as in an accept loop.
-    const now = performance.now();
-    nextAcceptAt = Math.max(now, nextAcceptAt) + connectionCostMs;
-    acceptedAt.set(socket, nextAcceptAt);
-  });
-  const loadHistory = createLagging<UpstreamLoad>(load());
-  const healthHistory = createLagging('down');
+function createState(given: UpstreamOptions): State {
+  const options = {...DEFAULTS, ...given};
+  const {slots} = options;
+  const state: State = {
+    options,
+    ledger: given.ledger ?? createLedger(),
+    warmth: createWarmth(slots, {
+      ...COLD_DEFAULTS,
+      fallOverAt: slots,
+      ...given.cold,
+    }),
+    server: createHttpServer(
+      (req, res) => handle(state, req, res),
+      (socket, open) => acceptSocket(state, socket, open),
+    ),
+    counts: {
+      requests: 0,
+      shed: 0,
+      crashes: 0,
+      fallOvers: 0,
+      refusedConnections: 0,
+      peakRunning: 0,
+    },
+    working: new Set(),
+    held: [],
+    loadHistory: createLagging<UpstreamLoad>({
+      slots,
+      running: 0,
+      connections: 0,
+      cold: true,
+    }),
+    healthHistory: createLagging('down'),
+    acceptedAt: new WeakMap(),
+    nextAcceptAt: 0,
+    up: false,
+    draining: false,
+    stalling: false,
+  };
+  return state;
+}
 
-  function load(): UpstreamLoad {
-    return {
-      slots: warmth.slots(),
-      running: working.size,
-      connections: server.sockets.size,
-      cold: warmth.isCold(),
-    };
+function acceptSocket(state: State, socket: Socket, open: number): void {
+  const {connections, connectionCostMs} = state.options;
+  if (open > connections) {
+    state.counts.refusedConnections++;
+    socket.destroy();
+    return;
   }
+  // New connections are set up one after another, as in an accept loop.
+  const now = performance.now();
+  state.nextAcceptAt = Math.max(now, state.nextAcceptAt) + connectionCostMs;
+  state.acceptedAt.set(socket, state.nextAcceptAt);
+}
 
-  function noteState(): void {
-    loadHistory.set(load());
-    healthHistory.set(up ? (draining ? 'draining' : 'ok') : 'down');
+function handle(state: State, req: IncomingMessage, res: ServerResponse): void {
+  const url = parseUrl(req);
+  const {lagMs} = state.options;
+  if (url.pathname === '/health') {
+    const status = state.fixedHealth ?? state.healthHistory.read(lagMs);
+    sendJson(res, status === 'ok' ? 200 : 503, {status});
+    return;
   }
-
-  function handle(req: IncomingMessage, res: ServerResponse): void {
-    const url = parseUrl(req);
-    if (url.pathname === '/health') {
-      const status = fixedHealth ?? healthHistory.read(lagMs);
-      sendJson(res, status === 'ok' ? 200 : 503, {status});
-      return;
-    }
-    if (url.pathname === '/load') {
-      sendJson(res, 200, loadHistory.read(lagMs));
-      return;
-    }
-    const waitMs = (acceptedAt.get(req.socket) ?? 0) - performance.now();
-    if (waitMs > 0) setTimeout(() => admit(req, res, url), waitMs);
-    else admit(req, res, url);
+  if (url.pathname === '/load') {
+    sendJson(res, 200, state.loadHistory.read(lagMs));
+    return;
   }
+  const readyAt = state.acceptedAt.get(req.socket) ?? 0;
+  const waitMs = readyAt - performance.now();
+  if (waitMs > 0) setTimeout(() => admit(state, req, res, url), waitMs);
+  else admit(state, req, res, url);
+}
 
-  function admit(req: IncomingMessage, res: ServerResponse, url: URL): void {
-    if (res.destroyed) return;
-    counts.requests++;
-    if (req.headers['x-crash'] === '1') {
-      ledger.start(describeRun(req, url)).outcome = 'crashed';
-      void crash();
-      return;
-    }
-    if (warmth.noteAttempt(working.size, performance.now())) {
-      counts.fallOvers++;
-      void crash();
-      return;
-    }
-    const deadlineMs = readDeadline(req);
-    if (draining || working.size >= warmth.slots() || deadlineMs <= 0) {
-      counts.shed++;
-      const headers = {[HEADERS.shed]: 'not-run'};
-      sendJson(res, 503, {error: draining ? 'draining' : 'full'}, headers);
-      return;
-    }
-    startWork(req, res, url, deadlineMs);
+function admit(
+  state: State,
+  req: IncomingMessage,
+  res: ServerResponse,
+  url: URL,
+): void {
+  if (res.destroyed) return;
+  const {counts, warmth, working, ledger} = state;
+  counts.requests++;
+  if (req.headers['x-crash'] === '1') {
+    ledger.start(describeRun(state, req, url)).outcome = 'crashed';
+    void crash(state);
+    return;
   }
-
-  function describeRun(
-    req: IncomingMessage,
-    url: URL,
-  ): Omit<Run, 'seq' | 'outcome'> {
-    return {
-      upstream: id,
-      id: String(req.headers[HEADERS.id] ?? ''),
-      key: String(req.headers[HEADERS.key] ?? ''),
-      operation: url.searchParams.get('op') ?? '',
-      method: req.method ?? '',
-      path: url.pathname,
-      startedAtMs: performance.now(),
-    };
+  if (warmth.noteAttempt(working.size, performance.now())) {
+    counts.fallOvers++;
+    void crash(state);
+    return;
   }
-
-  function startWork(
-    req: IncomingMessage,
-    res: ServerResponse,
-    url: URL,
-    deadlineMs: number,
-  ): void {
-    const run = ledger.start(describeRun(req, url));
-    const abort = new AbortController();
-    const work: Work = {
-      run,
-      res,
-      finish: outcome => {
-        if (!working.delete(work)) return false;
-        run.outcome = outcome;
-        clearTimeout(timer);
-        abort.abort();
-        if (outcome === 'done') warmth.noteRun();
-        noteState();
-        return true;
-      },
-    };
-    const timer = Number.isFinite(deadlineMs)
-      ? setTimeout(() => {
-          if (!work.finish('deadline')) return;
-          if (res.headersSent) res.destroy();
-          else sendJson(res, 504, {error: 'deadline'});
-        }, deadlineMs)
-      : undefined;
-    working.add(work);
-    counts.peakRunning = Math.max(counts.peakRunning, working.size);
-    noteState();
-    res.on('close', () => work.finish('cancelled'));
-    const ms = readNumber(url, 'serviceMs', serviceMs) * warmth.slowdown();
-    setTimeout(() => answer(work, url, abort.signal), ms);
-    req.resume();
+  const deadlineMs = readDeadline(req);
+  if (state.draining || working.size >= warmth.slots() || deadlineMs <= 0) {
+    counts.shed++;
+    const error = state.draining ? 'draining' : 'full';
+    sendJson(res, 503, {error}, {[HEADERS.shed]: 'not-run'});
+    return;
   }
+  startWork(state, req, res, url, deadlineMs);
+}
 
-  function answer(work: Work, url: URL, signal: AbortSignal): void {
-    if (signal.aborted) return;
-    if (stalling) {
-      stalled.push(() => answer(work, url, signal));
-      return;
-    }
-    const bytes = readNumber(url, 'bytes', 0);
-    if (bytes > 0) {
-      const chunkMs = readNumber(url, 'chunkMs', 10);
-      startTransfer(work.res, bytes, chunkMs, signal, () =>
-        work.finish('done'),
-      );
-      return;
-    }
-    const {run, res} = work;
-    work.finish('done');
-    sendJson(res, 200, {
-      upstream: id,
-      run: run.seq,
-      operation: run.operation,
-      path: run.path,
-    });
-  }
+function describeRun(
+  {options}: State,
+  req: IncomingMessage,
+  url: URL,
+): Omit<Run, 'seq' | 'outcome'> {
+  return {
+    upstream: options.id,
+    id: String(req.headers[HEADERS.id] ?? ''),
+    key: String(req.headers[HEADERS.key] ?? ''),
+    operation: url.searchParams.get('op') ?? '',
+    method: req.method ?? '',
+    path: url.pathname,
+    startedAtMs: performance.now(),
+  };
+}
 
-  async function crash(): Promise<void> {
-    if (!up) return;
-    up = false;
-    counts.crashes++;
-    const closed = server.close();
-    for (const work of [...working]) work.finish('crashed');
-    noteState();
-    if (restartMs > 0) {
-      restartTimer = setTimeout(() => void restart(), restartMs);
-    }
-    await closed;
+function startWork(
+  state: State,
+  req: IncomingMessage,
+  res: ServerResponse,
+  url: URL,
+  deadlineMs: number,
+): void {
+  const {working, counts, warmth, options} = state;
+  const run = state.ledger.start(describeRun(state, req, url));
+  const work: Work = {run, res, ended: new AbortController()};
+  if (Number.isFinite(deadlineMs)) {
+    work.deadline = setTimeout(() => expire(state, work), deadlineMs);
   }
+  working.add(work);
+  counts.peakRunning = Math.max(counts.peakRunning, working.size);
+  noteState(state);
+  res.on('close', () => finish(state, work, 'cancelled'));
+  const ms = readNumber(url, 'serviceMs', options.serviceMs);
+  setTimeout(() => answer(state, work, url), ms * warmth.slowdown());
+  req.resume();
+}
 
-  async function restart(): Promise<void> {
-    if (up) return;
-    clearTimeout(restartTimer);
-    warmth.chill();
-    await listen();
-  }
+function expire(state: State, work: Work): void {
+  if (!finish(state, work, 'deadline')) return;
+  if (work.res.headersSent) work.res.destroy();
+  else sendJson(work.res, 504, {error: 'deadline'});
+}
 
-  async function listen(port?: number): Promise<string> {
-    const url = await server.listen(port);
-    up = true;
-    noteState();
-    return url;
+function answer(state: State, work: Work, url: URL): void {
+  const {run, res, ended} = work;
+  if (ended.signal.aborted) return;
+  if (state.stalling) {
+    state.held.push(() => answer(state, work, url));
+    return;
+  }
+  const bytes = readNumber(url, 'bytes', 0);
+  if (bytes > 0) {
+    const chunkMs = readNumber(url, 'chunkMs', 10);
+    startTransfer(res, bytes, chunkMs, ended.signal, () =>
+      finish(state, work, 'done'),
+    );
+    return;
   }
+  finish(state, work, 'done');
+  const {upstream, seq, operation, path} = run;
+  sendJson(res, 200, {upstream, run: seq, operation, path});
+}
 
-  async function close(): Promise<void> {
-    up = false;
-    clearTimeout(restartTimer);
-    await server.close();
+async function crash(state: State): Promise<void> {
+  if (!state.up) return;
+  state.up = false;
+  state.counts.crashes++;
+  const closed = state.server.close();
+  for (const work of [...state.working]) finish(state, work, 'crashed');
+  noteState(state);
+  const {restartMs} = state.options;
+  if (restartMs > 0) {
+    state.restartTimer = setTimeout(() => void restart(state), restartMs);
   }
+  await closed;
+}
 
-  return {
-    id,
-    ledger,
-    counts,
-    load,
-    drain: (next = true) => {
-      draining = next;
-      noteState();
-    },
-    stall: (next = true) => {
-      stalling = next;
-      if (!next) for (const release of stalled.splice(0)) release();
-    },
-    chill: () => {
-      warmth.chill();
-      noteState();
-    },
-    setHealth: status => {
-      fixedHealth = status;
-    },
-    crash,
-    restart,
-    isUp: () => up,
-    listen,
-    url: server.url,
-    close,
-  };
+async function restart(state: State): Promise<void> {
+  if (state.up) return;
+  clearTimeout(state.restartTimer);
+  state.warmth.chill();
+  await listen(state);
+}
+
+async function listen(state: State, port?: number): Promise<string> {
+  const url = await state.server.listen(port);
+  state.up = true;
+  noteState(state);
+  return url;
+}
+
+async function close(state: State): Promise<void> {
+  state.up = false;
+  clearTimeout(state.restartTimer);
+  await state.server.close();
 }
 
 function readDeadline(req: IncomingMessage): number {
