--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -6,14 +6,9 @@
 } from '../types/document.js';
 import {MESSAGES} from '../types/messages.js';
 import {count, type Board} from './blackboard.js';
+import {measureJson, type Checked} from './json.js';
 import {recordEvent} from './timeline.js';
-import {
-  checkDocument,
-  createVersion,
-  judgeEntry,
-  measureJson,
-  type Checked,
-} from './versions.js';
+import {checkDocument, createVersion, judgeEntry} from './versions.js';
 
 /** Entries kept to serve peers that are behind. */
 export const LOG_ENTRIES = 256;
@@ -190,15 +185,11 @@
 /** Moves past an entry and keeps it for peers while it fits the log. */
 function keepEntry(state: ConfigState, entry: Entry): void {
   const size = measureJson(entry.value);
-  const position = {...getPosition(state), index: entry.prev};
-  state.index = entry.index;
-  if (!size.ok || size.value > LOG_BYTES) {
-    clearLog(state);
-    return;
-  }
+  const bytes = size.ok ? size.value : LOG_BYTES + 1;
+  state.marks.push({...getPosition(state), index: entry.prev, bytes});
   state.log.push(entry);
-  state.marks.push({...position, bytes: size.value});
-  let total = state.marks.reduce((sum, {bytes}) => sum + bytes, 0);
+  state.index = entry.index;
+  let total = state.marks.reduce((sum, mark) => sum + mark.bytes, 0);
   while (state.log.length > LOG_ENTRIES || total > LOG_BYTES) {
     total -= state.marks[0].bytes;
     state.log.shift();
