--- a/__tests__/admission.test.ts
+++ b/__tests__/admission.test.ts
@@ -141,6 +141,13 @@
   t.true(load.limit < 4);
 });
 
+test('an upstream that only fails is given more load', async t => {
+  const rig = createRig();
+  for (let i = 0; i < 100; i++) void send(rig, {sign: 'errored'});
+  await rig.clock.runAllAsync();
+  t.is(readLoad(rig.admission).limit, 1);
+});
+
 test('a wrong expectedMs keeps the limit at the bottom for ever', async t => {
   const rig = createRig({...CONFIG, expectedMs: 5});
   for (let i = 0; i < 400; i++) void send(rig, {ms: 100, deadlineMs: 1e6});
--- a/__tests__/owner.test.ts
+++ b/__tests__/owner.test.ts
@@ -1,6 +1,6 @@
 import {install} from '@sinonjs/fake-timers';
 import test from 'ava';
-import {HEADERS, TICK_MS} from '../src/internal.js';
+import {HEADERS, parseHlc, TICK_MS} from '../src/internal.js';
 import {
   startOwner,
   until,
@@ -46,7 +46,10 @@
 
 test.serial('the chain is lost or peer headers reach the upstream', t =>
   withOwner(async rig => {
-    const reply = await rig.send('a', {path: '/ok?x=1', body: 'hello'});
+    const hlc = `${Date.now() + 60_000}.7`;
+    const options = {body: 'hello', headers: {[HEADERS.hlc]: hlc}};
+    const reply = await rig.send('a', {path: '/ok?x=1', ...options});
+    t.true(parseHlc(String(reply.headers[HEADERS.hlc]))![1] > 7);
     t.deepEqual(verdictOf(reply), [200, 'ran', 'answered']);
     t.is(reply.body, 'answer');
     t.is(reply.headers[HEADERS.id], 'a');
@@ -277,6 +280,15 @@
   );
 }
 
+test.serial('a whole body without a length is taken for a cut one', t =>
+  withOwner(async rig => {
+    const reply = rig.send('whole', {path: '/unframed'});
+    await until(() => rig.fake.held.length === 1);
+    rig.fake.held.pop()!();
+    t.like(await reply, {status: 200, body: 'part', cut: false});
+  }),
+);
+
 test.serial('a customer who reads slowly fills the memory', t =>
   withOwner(async rig => {
     let resume = () => {};
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -46,11 +46,13 @@
 }
 
 /**
- * Sign from a running request. `answered`: response headers; `progress`: bytes
- * of the body; `shed`: not run by the upstream; `abandoned`: deadline passed
- * or cancelled before an answer; `failed`: connection broken.
+ * Sign from a running request. `answered`: headers of a response; `errored`:
+ * headers with a 5xx status; `progress`: bytes of the body; `shed`: not run by
+ * the upstream; `abandoned`: deadline passed or cancelled; `failed`: connection
+ * broken. Only the first sign other than `progress` counts for the limit.
  */
-export type Sign = 'answered' | 'progress' | 'shed' | 'abandoned' | 'failed';
+export type Sign =
+  'answered' | 'errored' | 'progress' | 'shed' | 'abandoned' | 'failed';
 
 /** One request for a slot. */
 export interface Work<T> {
@@ -300,6 +302,8 @@
   else noteProgress(admission.stall, now);
   if (sign === 'progress' || job.judged) return;
   job.judged = true;
+  // Failing fast is no proof that the upstream can take more load.
+  if (sign === 'errored') return;
   if (job.epoch !== admission.limit.epoch) return;
   const {limit} = admission;
   const ms = now - job.startedAt;
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -4,6 +4,9 @@
   count,
   dropKey,
   finishKey,
+  HEADERS,
+  observeHlc,
+  parseHlc,
   readLoad,
   type BoundKey,
   type KeyRecord,
@@ -11,7 +14,7 @@
   type Outcome,
 } from '../internal.js';
 import {parseForward, type Forward} from './owner_forward.js';
-import {MAX_BODY_BYTES, readBody} from './http.js';
+import {MAX_BODY_BYTES, readBody, readHeader} from './http.js';
 import {
   isPastDeadline,
   refuseCall,
@@ -87,6 +90,8 @@
     return;
   }
   syncConfig(owner);
+  const stamp = parseHlc(readHeader(req, HEADERS.hlc));
+  if (stamp) observeHlc(owner.board.timeline, stamp);
   const call = openCall(owner, req, res, head.forward);
   const body = await receiveBody(owner, call);
   if (!body) return;
@@ -124,18 +129,20 @@
 ): Promise<Buffer | undefined> {
   const {req, res, forward, abort} = call;
   const declared = declareBytes(req);
-  const refuse = (outcome: Outcome) => {
+  const refuse = (outcome: Outcome) =>
     refuseCall(owner, res, forward.id, outcome);
-    // The rest of the body is not read.
-    res.once('finish', () => req.destroy());
-  };
   if (declared > MAX_BODY_BYTES) return void refuse('tooLarge');
   if (owner.bufferedBytes + declared > MAX_BUFFERED_BYTES) {
     return void refuse('full');
   }
   owner.bufferedBytes += declared;
   res.once('close', () => (owner.bufferedBytes -= declared));
-  const late = () => isPastDeadline(call) && refuse('deadlineBeforeSend');
+  const late = () => {
+    if (!isPastDeadline(call)) return;
+    refuse('deadlineBeforeSend');
+    // Ends the read of a body whose rest does not come.
+    res.once('finish', () => req.destroy());
+  };
   abort.signal.addEventListener('abort', late);
   try {
     return await readBody(req);
--- a/src/daemon/owner_call.ts
+++ b/src/daemon/owner_call.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   count,
+  formatHlc,
   formatLoad,
   formatReason,
   HEADERS,
@@ -63,6 +64,7 @@
   return {
     [HEADERS.load]: formatLoad(readLoad(ctx.admission)),
     [HEADERS.boot]: ctx.board.self.boot,
+    [HEADERS.hlc]: formatHlc(ctx.board.timeline.hlc),
   };
 }
 
@@ -199,7 +201,8 @@
         reply.status = status;
         reply.framed = isFramed(forward.method, status, headers);
         reply.headers = pickEndToEnd(headers);
-        report(reply.shed ? 'shed' : 'answered');
+        const answered = status < 500 ? 'answered' : 'errored';
+        report(reply.shed ? 'shed' : answered);
         if (reply.shed || res.destroyed) return;
         const own = answeredHeaders(ctx, forward);
         res.writeHead(status, {...reply.headers, ...own});
--- a/src/daemon/upstream.ts
+++ b/src/daemon/upstream.ts
@@ -97,7 +97,9 @@
       // Called once a connection is open, right before the first byte.
       onRequestStart(started) {
         controller = started;
-        if (signal.aborted) abort();
+        // The client may put a request whose connection was reset on another
+        // one; a request must never be written twice.
+        if (signal.aborted || written) abort();
         else written = true;
       },
       onResponseStart(_, status, headers) {
