--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
   announceLeaving,
+  computeSourceAge,
   count,
   createBoard,
   createRandom,
@@ -27,7 +28,7 @@
 import {createEntry} from './entry.js';
 import {createLinks} from './links.js';
 import {createLog, logEvent} from './log.js';
-import {createMetrics, renderMetrics} from './metrics.js';
+import {createMetrics, recordLatency, renderMetrics} from './metrics.js';
 import {createOwner} from './owner.js';
 import {readList, readSource} from './source.js';
 import {describeStatus} from './status.js';
@@ -66,7 +67,15 @@
   const metrics = createMetrics();
   const stopped = new AbortController();
   const {peerKey} = settings;
-  const entry = createEntry({board, peerKey, now, execute: run});
+  const entry = createEntry({
+    board,
+    peerKey,
+    now,
+    execute: run,
+    onFinished: (outcome, elapsedMs) => {
+      if (outcome === 'answered') recordLatency(metrics, 'answers', elapsedMs);
+    },
+  });
   board.onCrash = handleCrash;
   const owner = createOwner({
     board,
@@ -121,7 +130,7 @@
       const records = await readList(settings.platform.listUrl, stopped.signal);
       run(handleList(board, records, now()));
     } catch {
-      count(board, 'listFailures');
+      count(board, 'list_errors');
     }
   };
 
@@ -145,8 +154,25 @@
       dropped: board.timeline.dropped,
       events: board.timeline.events,
     }),
-    readMetrics: () => renderMetrics(board, metrics, {}),
+    readMetrics: () => renderMetrics(board, metrics, readGauges()),
   });
+  const readGauges = (): Record<string, number> => {
+    const load = owner.readLoad();
+    return {
+      config_version: board.config.inForce?.version ?? 0,
+      config_confirmed: Number(board.config.confirmed),
+      source_age_ms: Math.round(computeSourceAge(board, now())),
+      links: board.links.size,
+      view_stale: Number(board.viewStale),
+      entry_running: entry.countRunning(),
+      upstream_limit: load.limit,
+      upstream_in_flight: load.inFlight,
+      upstream_queued: load.queued,
+      upstream_cold: Number(load.cold),
+      upstream_stalled: Number(load.stalled),
+      timeline_dropped: board.timeline.dropped,
+    };
+  };
   const {listen} = settings;
   await openPort(customerServer, listen.customerPort, listen.host);
   await openPort(peerServer, listen.peerPort, listen.host);
