Send unchanged bucket hashes with every fifth heartbeat only

Ruled out: a single combined hash, because a difference would then need one more exchange to find the bucket; never repeating them, because a peer that lost them would stay blind.

--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -29,7 +29,9 @@
   readonly upAt: number;
   /** Monotonic time of the newest message, ms. */
   heardAt: number;
-  /** Newest beat of the peer. */
+  /** Bucket hashes last sent to the peer, as text, and beats since then. */
+  sentBuckets?: {readonly hashes: string; beats: number};
+  /** Newest beat of the peer; its buckets are always present. */
   beat?: Extract<PeerMessage, {t: 'beat'}>;
 }
 
--- a/src/core/control.ts
+++ b/src/core/control.ts
@@ -31,6 +31,12 @@
 import {checkPause} from './staleness.js';
 import {observeHlc, recordEvent} from './timeline.js';
 
+/**
+ * Beats after which unchanged bucket hashes are sent again. They are most of a
+ * beat; the repetition bounds the harm of a peer that lost them.
+ */
+const REPEAT_BUCKETS_BEATS = 5;
+
 type Handler<N extends MessageName> = (
   board: Board,
   from: string,
@@ -73,14 +79,17 @@
   now: number,
 ): Effect[] {
   const link = board.links.get(from);
-  if (link) link.beat = msg;
+  if (link) {
+    const buckets = msg.buckets.length > 0 ? msg.buckets : link.beat?.buckets;
+    link.beat = {...msg, buckets: buckets ?? []};
+  }
   observeHlc(board.timeline, msg.hlc);
   const effects: Effect[] = [];
   if (msg.ask !== undefined) {
     const echo = {...createBeat(board, now), echo: msg.ask};
     effects.push({kind: 'send', to: from, msg: echo});
   }
-  effects.push(...handleBeatMembers(board, from, msg, now));
+  effects.push(...handleBeatMembers(board, from, link?.beat ?? msg, now));
   effects.push(...handleBeatConfig(board, from, msg, now));
   return effects;
 }
@@ -118,10 +127,25 @@
   const beat = createBeat(board, now);
   members.askDue = false;
   const effects: Effect[] = [];
-  for (const to of links.keys()) effects.push({kind: 'send', to, msg: beat});
+  for (const link of links.values()) {
+    const msg = {...beat, buckets: selectBuckets(link, beat.buckets)};
+    effects.push({kind: 'send', to: link.peer, msg});
+  }
   return effects;
 }
 
+/** Bucket hashes to send: none when the peer has had them lately. */
+function selectBuckets(link: Link, buckets: number[]): number[] {
+  const hashes = buckets.join();
+  const sent = link.sentBuckets;
+  if (sent?.hashes === hashes && sent.beats < REPEAT_BUCKETS_BEATS) {
+    sent.beats++;
+    return [];
+  }
+  link.sentBuckets = {hashes, beats: 1};
+  return buckets;
+}
+
 /** Builds the heartbeat of this moment. */
 export function createBeat(board: Board, now: number): MessageOf<'beat'> {
   const {config, timeline, members} = board;
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -188,6 +188,8 @@
   const member = table.byId.get(from);
   if (member) member.heardAt = now;
   if (msg.echo !== undefined && msg.echo === table.ask) endStale(board, now);
+  // A peer whose hashes are not known yet sends them with a later beat.
+  if (msg.buckets.length === 0) return [];
   const own = computeBuckets(board);
   const differing = own.flatMap((hash, i) =>
     hash === msg.buckets[i] ? [] : i,
--- a/src/types/messages.ts
+++ b/src/types/messages.ts
@@ -65,7 +65,11 @@
     digest: z.union([digestSchema, z.literal('')]),
     /** Age of the newest source reply known in this data centre, ms; -1 none. */
     sourceAgeMs: z.number().min(-1),
-    buckets: z.array(z.int().min(0)).length(MEMBER_BUCKETS),
+    /** Hashes of the member table; empty when as in the beat before. */
+    buckets: z
+      .array(z.int().min(0))
+      .max(MEMBER_BUCKETS)
+      .refine(list => list.length % MEMBER_BUCKETS === 0),
     /** False while the sender is still learning or unconfirmed. */
     confirmed: z.boolean(),
     /** Nonce of a resumed daemon that needs an answer at once. */
