Bound the work that one malformed entry can cause

Two published values stopped every daemon that folded them. A patch of 60 copy operations that put the routes into themselves ended a process with 300 MB of heap ("Reached heap limit"); a document with 160,000 methods in one route threw a RangeError out of checkDocument, because its faults were spread into call arguments. Copies are now measured before they are made, faults are passed as a list and cut, and a value has at most 100,000 parts (a document of 1 MB has about 75,000). Ruled out: a limit on the number of copy operations, since 13 double 150 bytes to 1 MB.

--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -6,7 +6,7 @@
 } from '../types/document.js';
 import {MESSAGES} from '../types/messages.js';
 import {count, type Board} from './blackboard.js';
-import {measureJson, type Checked} from './json.js';
+import {MAX_REASON, measureJson, type Checked} from './json.js';
 import {recordEvent} from './timeline.js';
 import {checkDocument, createVersion, judgeEntry} from './versions.js';
 
@@ -212,7 +212,7 @@
     index: entry.index,
     author: typeof value.author === 'string' ? value.author.slice(0, 100) : '',
     base: Number.isSafeInteger(value.base) ? (value.base as number) : 0,
-    reason: judged.faults.join('; ').slice(0, 500),
+    reason: judged.faults.join('; ').slice(0, MAX_REASON),
   };
 }
 
--- a/src/core/json.ts
+++ b/src/core/json.ts
@@ -7,9 +7,18 @@
  */
 const MAX_DEPTH = 32;
 
-/** Faults reported per check; a reason is cut at 500 characters anyway. */
+/**
+ * Most parts of a value. A document of 1 MB has about 75,000; the schema check
+ * of a malformed value with several times as many takes about a second.
+ */
+const MAX_PARTS = 100_000;
+
+/** Faults reported per check; a malformed value can have one in every part. */
 const MAX_FAULTS = 20;
 
+/** Longest reason of a refusal, characters. */
+export const MAX_REASON = 500;
+
 /**
  * Keys that are refused in any value. msgpackr renames the first to the second
  * in transit, so a reader and its peers would judge different values.
@@ -26,8 +35,13 @@
 export type Checked<T> = {ok: true; value: T} | {ok: false; faults: string[]};
 
 /** Result of a check that found faults. */
-export function refuse(...faults: string[]): {ok: false; faults: string[]} {
-  return {ok: false, faults: faults.slice(0, MAX_FAULTS)};
+export function refuse(faults: string | readonly string[]): {
+  ok: false;
+  faults: string[];
+} {
+  const list = typeof faults === 'string' ? [faults] : faults;
+  const kept = list.slice(0, MAX_FAULTS);
+  return {ok: false, faults: kept.map(fault => fault.slice(0, MAX_REASON))};
 }
 
 /** Size of JSON data in bytes, or the fault that makes it no JSON data. */
@@ -48,6 +62,7 @@
 function findJsonFault(value: unknown): string | undefined {
   const stack: Part[] = [{value, depth: 0, key: ''}];
   let units = 0;
+  let parts = 0;
   for (let part = stack.pop(); part; part = stack.pop()) {
     // Every part and character takes at least a byte. Shared references could
     // make a small value too large to write out and measure.
@@ -56,6 +71,8 @@
     const fault = findPartFault(part);
     if (fault !== undefined) return `${locate(part)}: ${fault}`;
     if (typeof part.value !== 'object' || part.value === null) continue;
+    parts += Object.keys(part.value).length;
+    if (parts > MAX_PARTS) return `(root): more than ${MAX_PARTS} parts`;
     for (const [key, field] of Object.entries(part.value)) {
       if (field === undefined) continue;
       stack.push({value: field, depth: part.depth + 1, key, parent: part});
--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -25,6 +25,8 @@
  */
 export const MAX_DOCUMENT_BYTES = 1_000_000;
 
+const {applyOperation, getValueByPointer} = fastJsonPatch;
+
 /** Checks a document: schema first, then the whole reference graph. */
 export function checkDocument(value: unknown): Checked<Document> {
   const size = measureJson(value);
@@ -33,9 +35,9 @@
     return refuse(`(root): ${size.value} bytes of JSON are over the limit`);
   }
   const parsed = documentSchema.safeParse(value);
-  if (!parsed.success) return refuse(...formatIssues(parsed.error));
+  if (!parsed.success) return refuse(formatIssues(parsed.error));
   const faults = findGraphFaults(parsed.data);
-  if (faults.length > 0) return refuse(...faults);
+  if (faults.length > 0) return refuse(faults);
   return {ok: true, value: parsed.data};
 }
 
@@ -137,7 +139,7 @@
   entry: Entry,
 ): Checked<Version> {
   const parsed = snapshotSchema.safeParse(entry.value);
-  if (!parsed.success) return refuse(...formatIssues(parsed.error));
+  if (!parsed.success) return refuse(formatIssues(parsed.error));
   const {version, digest} = parsed.data;
   if (current && version === current.version && digest === current.digest) {
     return {ok: true, value: current};
@@ -159,7 +161,7 @@
   entry: Entry,
 ): Checked<Version> {
   const parsed = patchSchema.safeParse(entry.value);
-  if (!parsed.success) return refuse(...formatIssues(parsed.error));
+  if (!parsed.success) return refuse(formatIssues(parsed.error));
   const {base, baseDigest, ops} = parsed.data;
   if (!current || base !== current.version) {
     return refuse(`base ${base} is not version ${current?.version ?? 0}`);
@@ -168,7 +170,7 @@
     return refuse(`base digest differs from that of version ${base}`);
   }
   const faults = findOperationFaults(ops);
-  if (faults.length > 0) return refuse(...faults);
+  if (faults.length > 0) return refuse(faults);
   const patched = applyOperations(current.document, ops);
   if (!patched.ok) return patched;
   const checked = checkDocument(patched.value);
@@ -220,23 +222,39 @@
   document: Document,
   ops: Patch['ops'],
 ): Checked<unknown> {
+  let index = 0;
   try {
+    let root: unknown = structuredClone(document);
+    let copied = 0;
     // The library inserts operation values by reference and later operations
     // change them. The entry is relayed as published, so it needs a copy.
-    const copy = structuredClone(ops) as unknown as fastJsonPatch.Operation[];
-    const result = fastJsonPatch.applyPatch(document, copy, true, false);
-    return {ok: true, value: result.newDocument};
+    for (const op of structuredClone(ops)) {
+      copied += measureCopy(root, op);
+      if (copied > MAX_DOCUMENT_BYTES) {
+        return refuse(`/ops/${index}: copies are above the limit`);
+      }
+      const operation = op as unknown as fastJsonPatch.Operation;
+      root = applyOperation(root, operation, true, true, true, index)
+        .newDocument as unknown;
+      index++;
+    }
+    return {ok: true, value: root};
   } catch (err) {
-    return refuse(describePatchError(err));
+    const name = err instanceof Error ? err.name : 'error';
+    return refuse(`/ops/${index}: does not apply, ${name}`);
   }
 }
 
-function describePatchError(err: unknown): string {
-  if (err instanceof fastJsonPatch.JsonPatchError) {
-    return `/ops/${err.index ?? 0}: does not apply, ${err.name}`;
-  }
-  const name = err instanceof Error ? err.name : 'error';
-  return `/ops: do not apply, ${name}`;
+/**
+ * Bytes that an operation copies within the document. A few dozen copies of a
+ * part into itself would exhaust the memory of every daemon.
+ */
+function measureCopy(root: unknown, op: Patch['ops'][number]): number {
+  if (op.op !== 'copy') return 0;
+  const value: unknown = getValueByPointer(root, op.from as string);
+  if (value === undefined) return 0;
+  const size = measureJson(value);
+  return size.ok ? size.value : Infinity;
 }
 
 /**
