Do not take other content of our version for a confirmation

A daemon that had learned alone was marked confirmed by a peer that held the same version number with another digest. The added case failed with '3 confirmed' before the change.

--- a/__tests__/relay.test.ts
+++ b/__tests__/relay.test.ts
@@ -273,6 +273,8 @@
   t.is(run(3, window, {a: lower}), '3 confirmed');
   t.is(run(1, window, {a: nothing}), 'none unconfirmed');
   t.is(run(1, core.LEARN_ALONE_MS, {a: nothing}), '1 unconfirmed');
+  const other = {...beat, digest: '0'.repeat(32)};
+  t.is(run(3, core.LEARN_ALONE_MS, {a: other, x: other}), '3 unconfirmed');
 });
 
 test('a version learned alone is confirmed by a peer and never replaced by a lower one', t => {
--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -290,13 +290,16 @@
 }
 
 function noteReports(board: Board, now: number): void {
-  const {learning} = board.config;
+  const {learning, current} = board.config;
   const gapMs = now - (learning.updatedAt ?? board.startedAt);
   learning.elapsedMs += Math.min(Math.max(gapMs, 0), LEARN_STEP_MS);
   learning.updatedAt = now;
   for (const {peer, beat} of board.links.values()) {
     if (!beat || beat.version === 0) continue;
-    learning.highest = Math.max(learning.highest, beat.version);
+    // Other content of our version confirms nothing.
+    const {version, digest} = beat;
+    if (version === current?.version && digest !== current.digest) continue;
+    learning.highest = Math.max(learning.highest, version);
     // A peer that is itself still learning reports what it happens to hold,
     // so its report does not shorten the window.
     if (!beat.confirmed) continue;
