--- a/__tests__/support/network.ts
+++ b/__tests__/support/network.ts
@@ -12,6 +12,7 @@
   handleSourceError,
   handleSourceReply,
   handleTick,
+  listMembers,
   readRemoteReason,
   TICK_MS,
   type Board,
@@ -93,7 +94,7 @@
   readonly truth = createConfigState();
   readonly random: Random;
   /** Calls of the configuration service and of the instance list. */
-  readonly calls = {source: 0, list: 0};
+  readonly calls = {source: 0, list: 0, listRecords: 0};
   private readonly clock = FakeTimers.install({
     now: START_MS,
     toFake: ['Date'],
@@ -247,6 +248,16 @@
     });
   }
 
+  /** True when every running daemon sees exactly the running processes. */
+  isMutuallyKnown(): boolean {
+    const boots = this.live().map(({board}) => board.self.boot);
+    return this.live().every(({board}) => {
+      const live = listMembers(board, {states: ['live']});
+      const seen = new Set(live.map(({boot}) => boot));
+      return seen.size === boots.length && boots.every(boot => seen.has(boot));
+    });
+  }
+
   /** Publishes a whole document as a snapshot. */
   publishSnapshot(version: number, document: Document): void {
     const digest = computeDigest(document);
@@ -285,12 +296,11 @@
     this.call(node, 'tick', now => handleTick(node.board, now));
   }
 
-  /** Calls a controller under the clocks of the daemon, unless it is paused. */
-  private call(
-    node: Node,
-    kind: string,
-    controller: (now: number) => Effect[],
-  ): void {
+  /**
+   * Calls a controller under the clocks of the daemon and executes its effects,
+   * unless the daemon is paused.
+   */
+  call(node: Node, kind: string, controller: (now: number) => Effect[]): void {
     if (!node.alive) return;
     if (node.paused) {
       node.inbox.push(() => this.call(node, kind, controller));
@@ -460,6 +470,12 @@
   }
 
   private reply(node: Node, after: number, index: number): void {
+    // A read that was waiting when the cut or outage began has no answer.
+    if (this.isSourceCut(node) || this.source.down) {
+      return this.after(DIAL_TIMEOUT_MS, () =>
+        this.call(node, 'source', now => handleSourceError(node.board, now)),
+      );
+    }
     const entries = this.entries.filter(
       entry => entry.index > after && entry.index <= index,
     );
@@ -476,6 +492,7 @@
       incarnation: 0,
       boot: '',
     }));
+    this.calls.listRecords += records.length;
     this.after(5, () =>
       this.call(node, 'list', now => handleList(node.board, records, now)),
     );
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,10 +3,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
   announceLeaving,
+  computeSourceAge,
   count,
   createBoard,
   createRandom,
   FORWARD_PREFIX,
+  handleCrash,
   handleLinkDown,
   handleLinkUp,
   handleList,
@@ -15,6 +17,7 @@
   handleSourceReply,
   handleTick,
   recordEvent,
+  reportCrashes,
   TICK_MS,
   type Board,
   type Effect,
@@ -25,7 +28,7 @@
 import {createEntry} from './entry.js';
 import {createLinks} from './links.js';
 import {createLog, logEvent} from './log.js';
-import {createMetrics, renderMetrics} from './metrics.js';
+import {createMetrics, recordLatency, renderMetrics} from './metrics.js';
 import {createOwner} from './owner.js';
 import {readList, readSource} from './source.js';
 import {describeStatus} from './status.js';
@@ -64,13 +67,25 @@
   const metrics = createMetrics();
   const stopped = new AbortController();
   const {peerKey} = settings;
-  const entry = createEntry({board, peerKey});
+  const entry = createEntry({
+    board,
+    peerKey,
+    now,
+    execute: run,
+    onFinished: (outcome, elapsedMs) => {
+      if (outcome === 'answered') recordLatency(metrics, 'answers', elapsedMs);
+    },
+  });
+  board.onCrash = handleCrash;
   const owner = createOwner({
     board,
     peerKey,
     upstream: createUpstream(settings.upstream.url, 1),
-    reportCrash: fingerprints =>
-      count(board, 'crash_reports', fingerprints.length),
+    reportCrash: fingerprints => {
+      const {service, id: upstream} = board.self;
+      const crash = {service, upstream, knownBefore: 0};
+      run(reportCrashes(board, fingerprints, crash, now()));
+    },
     now,
     wallAtStart: Date.now(),
   });
@@ -115,12 +130,13 @@
       const records = await readList(settings.platform.listUrl, stopped.signal);
       run(handleList(board, records, now()));
     } catch {
-      count(board, 'listFailures');
+      count(board, 'list_errors');
     }
   };
 
   const customerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
-  customerServer.on('request', (req, res) => void entry(req, res));
+  customerServer.on('request', entry);
+  customerServer.on('clientError', entry.handleClientError);
   const peerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
   peerServer.on('request', (req, res) => {
     if (req.url?.startsWith(FORWARD_PREFIX)) {
@@ -138,8 +154,25 @@
       dropped: board.timeline.dropped,
       events: board.timeline.events,
     }),
-    readMetrics: () => renderMetrics(board, metrics, {}),
+    readMetrics: () => renderMetrics(board, metrics, readGauges()),
   });
+  const readGauges = (): Record<string, number> => {
+    const load = owner.readLoad();
+    return {
+      config_version: board.config.inForce?.version ?? 0,
+      config_confirmed: Number(board.config.confirmed),
+      source_age_ms: Math.round(computeSourceAge(board, now())),
+      links: board.links.size,
+      view_stale: Number(board.viewStale),
+      entry_running: entry.countRunning(),
+      upstream_limit: load.limit,
+      upstream_in_flight: load.inFlight,
+      upstream_queued: load.queued,
+      upstream_cold: Number(load.cold),
+      upstream_stalled: Number(load.stalled),
+      timeline_dropped: board.timeline.dropped,
+    };
+  };
   const {listen} = settings;
   await openPort(customerServer, listen.customerPort, listen.host);
   await openPort(peerServer, listen.peerPort, listen.host);
@@ -157,7 +190,7 @@
     run(announceLeaving(board, now()));
     // Entries need a moment to learn of it; until then their work is taken.
     await delay(DRAIN_NOTICE_MS);
-    await owner.stop();
+    await Promise.all([entry.stop(), owner.stop()]);
     clearInterval(ticker);
     stopped.abort();
     await links.stop();
