Read the list again soon while a daemon has no link

The new test failed before: 12 daemons with a list lag of 3 s did not know each other after 10 s. Ruled out: an early second read by every daemon, because at target a list has 125 KB; the read is dropped when a link came up meanwhile. Conclusion: 35 mesh and membership tests pass.

--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -210,6 +210,17 @@
   t.is(stateOf(b, 'x'), 'live');
 });
 
+test('news in a list does not stay with the daemon that read it', t => {
+  const b = board('me');
+  link(b, 'p');
+  handleList(b, [record('x')], 0);
+  const isNews = (effect: Effect): boolean =>
+    effect.kind === 'send' && effect.msg.t === 'members';
+  t.false(ticks(b, 0, 0).some(isNews), 'all read the list when they start');
+  handleList(b, [record('x'), record('y')], 0);
+  t.true(ticks(b, 250, 250).some(isNews));
+});
+
 test('gone members stay known while listed and do not pile up after', t => {
   const b = board('me');
   tell(b, [record('x'), record('y')]);
--- a/__tests__/mesh.test.ts
+++ b/__tests__/mesh.test.ts
@@ -52,6 +52,10 @@
   });
 });
 
+test('a list that lags behind a start does not leave daemons alone', t => {
+  withNetwork({listLagMs: 3_000}, net => t.true(net.isMutuallyKnown()));
+});
+
 test('patches that race during a cut do not split the fleet', t => {
   withNetwork({}, net => {
     net.cut(node => node.dataCentre === 'd1', true);
--- a/src/core/control.ts
+++ b/src/core/control.ts
@@ -7,6 +7,7 @@
 import {tickHlc} from '../utils/hlc.js';
 import {count, type Board, type Effect, type Link} from './blackboard.js';
 import {updateInForce} from './config.js';
+import {tickList} from './instances.js';
 import {
   BEAT_MS,
   computeBuckets,
@@ -88,6 +89,7 @@
 /** Runs every controller once; called each `TICK_MS`. */
 export function handleTick(board: Board, now: number): Effect[] {
   const effects = tickMembership(board, now);
+  effects.push(...tickList(board, now));
   effects.push(...closeSilentLinks(board, now));
   effects.push(...tickOverlay(board, now));
   sweepOverlay(board.overlay, now);
--- a/src/core/instances.ts
+++ b/src/core/instances.ts
@@ -15,6 +15,26 @@
 /** Mean interval of list reads by all others, ms. */
 export const LIST_EVERY_OTHERS_MS = 600_000;
 
+/** Mean time to the next read after one without a reply, ms. */
+const LIST_RETRY_MS = 2_000;
+
+/** Mean time to the next read of a daemon that has no link yet, ms. */
+const LIST_ALONE_MS = 3_000;
+
+/** Reads the list when it is time. */
+export function tickList(board: Board, now: number): Effect[] {
+  const table = board.members;
+  if (now < table.nextListAt) return [];
+  if (table.listSeen && table.listAlone && board.links.size > 0) {
+    // The early read was planned for want of peers, and there are some now.
+    planNextList(board, now);
+    return [];
+  }
+  // Set anew by the reply.
+  table.nextListAt = now + LIST_RETRY_MS * (0.5 + board.random());
+  return [{kind: 'readList'}];
+}
+
 /** Merges the instance list. It never marks a member as gone. */
 export function handleList(
   board: Board,
@@ -40,7 +60,7 @@
     }
   }
   // The rank is known only once the list has been merged.
-  table.nextListAt = now + computeListInterval(board);
+  planNextList(board, now);
   return [];
 }
 
@@ -102,10 +122,17 @@
   ).nextDialAt = now;
 }
 
-function computeListInterval(board: Board): number {
+function planNextList(board: Board, now: number): void {
+  const {members, links, random} = board;
+  // A list that lags may not name the peers of a daemon that has just started.
+  members.listAlone = links.size === 0;
+  const interval = members.listAlone ? LIST_ALONE_MS : chooseInterval(board);
+  members.nextListAt = now + interval * (0.75 + random() / 2);
+}
+
+function chooseInterval(board: Board): number {
   const {dataCentre, id} = board.self;
   const ids = listMembers(board, {dataCentre}).map(record => record.id);
   const rank = rankByRendezvous(`reader/${dataCentre}`, ids).indexOf(id);
-  const interval = rank < 2 ? LIST_EVERY_MS : LIST_EVERY_OTHERS_MS;
-  return interval * (0.75 + board.random() / 2);
+  return rank < 2 ? LIST_EVERY_MS : LIST_EVERY_OTHERS_MS;
 }
--- a/src/core/members.ts
+++ b/src/core/members.ts
@@ -55,6 +55,8 @@
   /** True once a list was read. */
   listSeen: boolean;
   nextListAt: number;
+  /** True when the next read was planned early for want of links. */
+  listAlone: boolean;
   /** True while others were told that this daemon is leaving. */
   markedLeaving: boolean;
 }
@@ -70,6 +72,7 @@
     askedAll: false,
     listSeen: false,
     nextListAt: 0,
+    listAlone: false,
     markedLeaving: false,
   };
 }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -41,9 +41,6 @@
  */
 export const LIST_LAG_MS = 60_000;
 
-/** Mean time to the next list read after one without a reply, ms. */
-const LIST_RETRY_MS = 2_000;
-
 /** Largest delay of the dial that checks on a peer whose link broke, ms. */
 const PROBE_SPREAD_MS = 500;
 
@@ -276,18 +273,12 @@
   return flushPending(board);
 }
 
-/** Times out suspects, forgets gone members, reads the list, sends changes. */
+/** Times out suspects, forgets gone members and sends changes. */
 export function tickMembership(board: Board, now: number): Effect[] {
   const table = board.members;
   tickStaleness(board, now);
   for (const member of [...table.byId.values()]) tickMember(board, member, now);
-  const effects = flushPending(board);
-  if (now >= table.nextListAt) {
-    // Set anew by the reply; this is the time to the next try without one.
-    table.nextListAt = now + LIST_RETRY_MS * (0.5 + board.random());
-    effects.push({kind: 'readList'});
-  }
-  return effects;
+  return flushPending(board);
 }
 
 function tickMember(board: Board, member: Member, now: number): void {
