--- a/src/daemon/forward.ts
+++ b/src/daemon/forward.ts
@@ -1,181 +1,194 @@
-import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
-import {
-  FORWARD_PREFIX,
-  HEADERS,
-  parseKey,
-  PRIORITIES,
-  verify,
-  type BoundKey,
-  type Outcome,
-  type Priority,
-} from '../internal.js';
-import {readHeader} from './http.js';
-import type {AnswerHeaders} from './upstream.js';
-
-/** Largest number of hops of a chain of calls. */
-export const MAX_DEPTH = 6;
-
-const MAX_DEADLINE_MS = 3_600_000;
-const MAX_BUDGET = 16;
-const ID_PATTERN = /^[\w.:~-]{1,128}$/;
-const FINGERPRINT_PATTERN = /^[0-9a-f]{16,64}$/;
-
-// Headers of one connection, which must not pass to the next one.
-const HOP_HEADERS = new Set([
-  'connection',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
-/** Checked head of a forwarded request. */
-export interface Forward {
-  readonly id: string;
-  /** Path and query for the upstream. */
-  readonly path: string;
+import type {IncomingHttpHeaders} from 'node:http';
+import {Pool, type Dispatcher} from 'undici';
+
+/** Connections that one entry opens to one owner; more requests wait. */
+export const OWNER_CONNECTIONS = 64;
+
+/** Time to set up a connection, ms; a cut network gives no refusal. */
+export const CONNECT_TIMEOUT_MS = 500;
+
+/**
+ * Idle time after which a connection is closed, ms, when the owner names no
+ * shorter one. It stays below the 5 s of Node's HTTP server, because a request
+ * written while the other side closes counts as one that may have run.
+ */
+const KEEP_ALIVE_MS = 4_000;
+
+/** Pools that are idle longer than this are closed, ms. */
+const POOL_IDLE_MS = 60_000;
+
+/** Address of an owner. */
+export interface OwnerAddress {
+  readonly host: string;
+  readonly peerPort: number;
+}
+
+/** Request to forward. */
+export interface ForwardRequest {
   readonly method: string;
-  readonly route: string;
-  readonly priority: Priority;
-  /** Remaining time at arrival, ms. */
-  readonly deadlineMs: number;
-  readonly depth: number;
-  readonly budget: number;
-  /** Configuration version of the entry; 0 when not told. */
-  readonly version: number;
-  readonly fingerprint: string;
-  readonly key?: BoundKey;
+  /** Path and query at the owner. */
+  readonly path: string;
+  /** Header names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
 }
 
-/** Result of reading a forwarded request. */
-export type ForwardResult =
-  {ok: true; forward: Forward} | {ok: false; id: string; outcome: Outcome};
-
-/** Reads and authenticates the head of a forwarded request. */
-export function parseForward(
-  req: IncomingMessage,
-  peerKey: string,
-): ForwardResult {
-  const id = readHeader(req, HEADERS.id) ?? '';
-  if (!ID_PATTERN.test(id)) return refuse('unknown', 'badRequest');
-  if (!isAuthentic(req, peerKey, id)) return refuse(id, 'badRequest');
-  const numbers = readNumbers(req);
-  const path = readPath(req.url ?? '');
-  const priority = readPriority(req);
-  const fingerprint = readHeader(req, HEADERS.fingerprint) ?? '';
-  const sane = numbers && path !== undefined && priority !== undefined;
-  if (!sane || !FINGERPRINT_PATTERN.test(fingerprint)) {
-    return refuse(id, 'badRequest');
-  }
-  if (numbers.depth > MAX_DEPTH) return refuse(id, 'tooDeep');
-  if (numbers.deadlineMs <= 0) return refuse(id, 'deadlineBeforeSend');
-  const keyText = readHeader(req, HEADERS.key);
-  const key = keyText === undefined ? undefined : parseKey(peerKey, keyText);
-  if (keyText !== undefined && !key) return refuse(id, 'badKey');
-  const method = req.method ?? 'GET';
-  const route = readHeader(req, HEADERS.route) ?? '';
-  const rest = {path, method, route, priority, fingerprint};
-  return {ok: true, forward: {id, ...rest, ...numbers, ...(key && {key})}};
+/** Events of one forwarded request; exactly one of `end` and `fail` comes. */
+export interface ForwardEvents {
+  /** Head of the answer. Returning false ends the call without more events. */
+  head(status: number, headers: IncomingHttpHeaders): boolean;
+  /** Part of the body. Returning false pauses until `resume` is called. */
+  data(chunk: Buffer): boolean;
+  end(): void;
+  /** `written` is false only when no byte of the request was written. */
+  fail(err: Error, written: boolean): void;
+}
+
+/** A forwarded request in progress. */
+export interface ForwardCall {
+  /** True once a byte of the request may have been written. */
+  readonly written: boolean;
+  /** Closes the connection; no event follows. */
+  abort(): void;
+  resume(): void;
+}
+
+/** HTTP/1.1 client to owners. */
+export interface Forwarder {
+  send(
+    to: OwnerAddress,
+    request: ForwardRequest,
+    events: ForwardEvents,
+    now: number,
+  ): ForwardCall;
+  /** Closes all connections. */
+  close(): Promise<void>;
 }
 
-/** Headers of the request to the upstream; the rest of the chain is told. */
-export function buildUpstreamHeaders(
-  headers: IncomingHttpHeaders,
-  forward: Forward,
-  remainingMs: number,
-): Record<string, string | string[]> {
-  const kept = pickEndToEnd(headers);
-  // The client states the length of the body that it sends.
-  delete kept['content-length'];
+/** Creates a client that keeps one pool of connections per owner address. */
+export function createForwarder(
+  connections: number = OWNER_CONNECTIONS,
+): Forwarder {
+  const pools = new Map<string, {pool: Pool; usedAt: number}>();
+  let sweptAt = 0;
+
+  function findPool(to: OwnerAddress, now: number): Pool {
+    if (now - sweptAt > POOL_IDLE_MS) {
+      sweptAt = now;
+      closeIdle(pools, now);
+    }
+    const host = to.host.includes(':') ? `[${to.host}]` : to.host;
+    const origin = `http://${host}:${to.peerPort}`;
+    let entry = pools.get(origin);
+    if (!entry) {
+      const pool = new Pool(origin, {
+        connections,
+        pipelining: 1,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        keepAliveMaxTimeout: KEEP_ALIVE_MS,
+        connect: {timeout: CONNECT_TIMEOUT_MS},
+        // The deadline of each request limits it instead.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      entry = {pool, usedAt: now};
+      pools.set(origin, entry);
+    }
+    entry.usedAt = now;
+    return entry.pool;
+  }
+
   return {
-    ...kept,
-    [HEADERS.id]: forward.id,
-    [HEADERS.deadlineMs]: String(Math.max(1, Math.floor(remainingMs))),
-    [HEADERS.depth]: String(forward.depth + 1),
-    [HEADERS.budget]: String(forward.budget),
+    send(to, request, events, now) {
+      const call = new Call(events);
+      const {method, path, headers, body} = request;
+      // `idempotent: false` also keeps undici from sending a request again.
+      const options = {method, path, headers, body, idempotent: false};
+      findPool(to, now).dispatch(options as Dispatcher.DispatchOptions, call);
+      return call;
+    },
+    async close() {
+      const all = [...pools.values()];
+      pools.clear();
+      await Promise.all(all.map(({pool}) => pool.destroy()));
+    },
   };
 }
 
-/** Keeps the headers that pass on, without those between daemons. */
-export function pickEndToEnd(
-  headers: AnswerHeaders,
-): Record<string, string | string[]> {
-  const named = String(headers.connection ?? '')
-    .toLowerCase()
-    .split(',')
-    .map(name => name.trim());
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    const dropped =
-      HOP_HEADERS.has(name) ||
-      named.includes(name) ||
-      name.startsWith('berylbend-');
-    if (!dropped && value !== undefined) kept[name] = value;
+function closeIdle(
+  pools: Map<string, {pool: Pool; usedAt: number}>,
+  now: number,
+): void {
+  for (const [origin, {pool, usedAt}] of pools) {
+    if (now - usedAt <= POOL_IDLE_MS) continue;
+    pools.delete(origin);
+    // Lets requests in progress end first.
+    void pool.close();
   }
-  return kept;
 }
 
-function refuse(id: string, outcome: Outcome): ForwardResult {
-  return {ok: false, id, outcome};
-}
+/** Raised when a request would be written to a second connection. */
+const WRITTEN_TWICE = new Error('request was already written once');
 
-function isAuthentic(
-  req: IncomingMessage,
-  peerKey: string,
-  id: string,
-): boolean {
-  const text = (name: string) => readHeader(req, name) ?? '';
-  return verify(
-    peerKey,
-    readHeader(req, HEADERS.auth),
-    id,
-    text(HEADERS.route),
-    text(HEADERS.fingerprint),
-    text(HEADERS.key),
-    text(HEADERS.deadlineMs),
-  );
-}
+const CANCELLED = new Error('request was cancelled');
 
-function readNumbers(
-  req: IncomingMessage,
-): Pick<Forward, 'deadlineMs' | 'depth' | 'budget' | 'version'> | undefined {
-  const deadlineMs = readNumber(req, HEADERS.deadlineMs, MAX_DEADLINE_MS);
-  const depth = readNumber(req, HEADERS.depth, 1_000, 0);
-  const budget = readNumber(req, HEADERS.budget, MAX_BUDGET, 0);
-  const version = readNumber(req, HEADERS.version, Number.MAX_SAFE_INTEGER, 0);
-  if (deadlineMs === undefined || depth === undefined) return undefined;
-  if (budget === undefined || version === undefined) return undefined;
-  return {deadlineMs, depth, budget, version};
-}
+class Call implements ForwardCall, Dispatcher.DispatchHandler {
+  written = false;
+  #done = false;
+  #controller?: Dispatcher.DispatchController;
 
-/** Undefined when malformed or too large, or absent without a default. */
-function readNumber(
-  req: IncomingMessage,
-  name: string,
-  max: number,
-  absent?: number,
-): number | undefined {
-  if (req.headers[name] === undefined) return absent;
-  const text = readHeader(req, name) ?? '';
-  if (!/^\d{1,16}(\.\d{1,6})?$/.test(text)) return undefined;
-  const value = Number(text);
-  return value <= max ? value : undefined;
-}
+  constructor(private readonly events: ForwardEvents) {}
 
-function readPriority(req: IncomingMessage): Priority | undefined {
-  if (req.headers[HEADERS.priority] === undefined) return 'read';
-  const text = readHeader(req, HEADERS.priority);
-  return PRIORITIES.find(priority => priority === text);
-}
+  abort(): void {
+    this.#done = true;
+    this.#controller?.abort(CANCELLED);
+  }
+
+  resume(): void {
+    if (!this.#done) this.#controller?.resume();
+  }
 
-function readPath(url: string): string | undefined {
-  if (!url.startsWith(FORWARD_PREFIX)) return undefined;
-  const path = url.slice(FORWARD_PREFIX.length);
-  return path.startsWith('/') ? path : undefined;
+  /** Called just before the first byte is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#done) {
+      controller.abort(CANCELLED);
+      return;
+    }
+    if (this.written) {
+      controller.abort(WRITTEN_TWICE);
+      return;
+    }
+    this.written = true;
+    this.#controller = controller;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (this.#done || status < 200) return;
+    if (this.events.head(status, headers)) return;
+    this.#done = true;
+    controller.abort(CANCELLED);
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (!this.#done && !this.events.data(chunk)) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    if (this.#done) return;
+    this.#done = true;
+    this.events.end();
+  }
+
+  onResponseError(_controller: unknown, err: Error): void {
+    if (this.#done) return;
+    this.#done = true;
+    this.events.fail(err, this.written);
+  }
 }
