--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -5,6 +5,8 @@
 import {createOverlayState, type OverlayState} from './overlay_state.js';
 import {createReaderState, type ReaderState} from './reader.js';
 import {createRelayState, type RelayState} from './relay.js';
+import {createRoutingState, type RoutingState} from './routing.js';
+import {createSuspects, type Suspects} from './suspects.js';
 import {createTimeline, type Timeline} from './timeline.js';
 
 /** Interval of the control tick, ms. */
@@ -39,6 +41,8 @@
   readonly reader: ReaderState;
   readonly relay: RelayState;
   readonly members: MemberTable;
+  readonly routing: RoutingState;
+  readonly suspects: Suspects;
   readonly overlay: OverlayState;
   /** Monotonic time of the next beat, ms. */
   nextBeatAt: number;
@@ -72,6 +76,8 @@
     reader: createReaderState(),
     relay: createRelayState(),
     members: createMemberTable(),
+    routing: createRoutingState(),
+    suspects: createSuspects(),
     overlay: createOverlayState(),
     nextBeatAt: now,
     links: new Map(),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
   createBoard,
   createRandom,
   FORWARD_PREFIX,
+  handleCrash,
   handleLinkDown,
   handleLinkUp,
   handleList,
@@ -15,6 +16,7 @@
   handleSourceReply,
   handleTick,
   recordEvent,
+  reportCrashes,
   TICK_MS,
   type Board,
   type Effect,
@@ -64,13 +66,17 @@
   const metrics = createMetrics();
   const stopped = new AbortController();
   const {peerKey} = settings;
-  const entry = createEntry({board, peerKey});
+  const entry = createEntry({board, peerKey, now, execute: run});
+  board.onCrash = handleCrash;
   const owner = createOwner({
     board,
     peerKey,
     upstream: createUpstream(settings.upstream.url, 1),
-    reportCrash: fingerprints =>
-      count(board, 'crash_reports', fingerprints.length),
+    reportCrash: fingerprints => {
+      const {service, id: upstream} = board.self;
+      const crash = {service, upstream, knownBefore: 0};
+      run(reportCrashes(board, fingerprints, crash, now()));
+    },
     now,
     wallAtStart: Date.now(),
   });
@@ -120,7 +126,8 @@
   };
 
   const customerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
-  customerServer.on('request', (req, res) => void entry(req, res));
+  customerServer.on('request', entry);
+  customerServer.on('clientError', entry.handleClientError);
   const peerServer = createServer({maxHeaderSize: MAX_HEADER_BYTES});
   peerServer.on('request', (req, res) => {
     if (req.url?.startsWith(FORWARD_PREFIX)) {
@@ -157,7 +164,7 @@
     run(announceLeaving(board, now()));
     // Entries need a moment to learn of it; until then their work is taken.
     await delay(DRAIN_NOTICE_MS);
-    await owner.stop();
+    await Promise.all([entry.stop(), owner.stop()]);
     clearInterval(ticker);
     stopped.abort();
     await links.stop();
