--- a/__tests__/owner.test.ts
+++ b/__tests__/owner.test.ts
@@ -300,6 +300,7 @@
 ownerTest('a return or a stall goes unnoticed', async (t, rig) => {
   await warm(rig);
   t.is(rig.owner.readLoad().limit, 6);
+  t.is(rig.board.counters.get('forward_answered'), 30);
   for (const state of ['out', 'in'] as const) {
     rig.setDataCentre(state);
     rig.owner.tick(clock.now);
@@ -315,5 +316,5 @@
   t.is((await held.reply).status, 200);
   t.true(rig.owner.isReady());
   const kinds = rig.board.timeline.events.map(event => event.kind);
-  t.true(kinds.includes('upstreamStalled') && kinds.includes('upstreamCold'));
+  t.deepEqual(kinds, ['limitChanged', 'upstreamCold', 'upstreamStalled']);
 });
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -243,7 +243,10 @@
 }
 
 function concludeCall(owner: OwnerState, call: Call, ending: Ending): void {
-  if (ending.kind === 'answered') return;
+  if (ending.kind === 'answered') {
+    count(owner.board, 'forward_answered');
+    return;
+  }
   if (ending.outcome === 'cancelled') call.res.destroy();
   else refuseCall(owner, call.res, call.forward.id, ending.outcome);
 }
--- a/src/daemon/owner_state.ts
+++ b/src/daemon/owner_state.ts
@@ -7,6 +7,7 @@
   createKeyTable,
   flushQueue,
   isKeyExpired,
+  readLoad,
   recordEvent,
   sweepKeys,
   tickAdmission,
@@ -59,7 +60,7 @@
   /** Set by the first call of `stop`. */
   stopped?: Promise<void>;
   /** Values of the previous tick, for events on changes. */
-  seen: {epoch: number; stalled: boolean; sweptAt: number};
+  seen: {epoch: number; cold: boolean; stalled: boolean; sweptAt: number};
 }
 
 /** Creates the state of an owner without requests. */
@@ -86,7 +87,7 @@
     active: new Set(),
     bufferedBytes: 0,
     stopping: false,
-    seen: {epoch: 0, stalled: false, sweptAt: now()},
+    seen: {epoch: 0, cold: true, stalled: false, sweptAt: now()},
   };
 }
 
@@ -125,7 +126,11 @@
     count(board, 'upstream_stalls');
     recordEvent(board.timeline, 'upstreamStalled', {inFlight}, now);
   }
-  Object.assign(seen, {epoch, stalled});
+  const {cold, limit} = readLoad(admission);
+  if (!cold && seen.cold) {
+    recordEvent(board.timeline, 'limitChanged', {limit, cold}, now);
+  }
+  Object.assign(seen, {epoch, cold, stalled});
 }
 
 /** False while the upstream is down or stalled, or the owner stops. */
