--- a/__tests__/owner.test.ts
+++ b/__tests__/owner.test.ts
@@ -22,9 +22,12 @@
     const fake = new UpstreamFake();
     await fake.start();
     const rig = await startOwner(clock, fake);
-    await run(t, rig, fake);
-    await rig.close();
-    await fake.crash();
+    try {
+      await run(t, rig, fake);
+    } finally {
+      await rig.close();
+      await fake.crash();
+    }
   });
 }
 
