--- a/__tests__/support/naive_proxy.ts
+++ b/__tests__/support/naive_proxy.ts
@@ -10,7 +10,8 @@
  * error or 5xx answer, whole answers buffered, no owner and no crash reports.
  */
 export function createNaiveProxy(
-  members: readonly MemberRecord[],
+  members: ReadonlyArray<Pick<MemberRecord, 'host' | 'peerPort'>>,
+  options: {reuse?: boolean} = {},
 ): (req: IncomingMessage, res: ServerResponse) => void {
   let next = 0;
   async function forward(req: IncomingMessage, body: Buffer) {
@@ -23,7 +24,7 @@
           method: req.method,
           headers: {'x-label': String(req.headers['x-label'] ?? '')},
           body: body.length > 0 ? body : undefined,
-          reset: true,
+          reset: !options.reuse,
         });
         status = reply.statusCode;
         text = Buffer.from(await reply.body.arrayBuffer());
