Do not suspect a request that has completed recently

A request that crashes an upstream does not complete, so a run that completed within the last 10 s acquits it. Ruled out: counting only crashes of distinct upstreams, because a read is in flight on all of them.

--- a/src/core/suspects.ts
+++ b/src/core/suspects.ts
@@ -30,6 +30,17 @@
 /** Fingerprints remembered; the oldest are dropped. */
 export const MAX_SUSPECTS = 2_000;
 
+/**
+ * A request that completed this recently did not cause a crash, ms. Without
+ * this rule a frequent read, in flight whenever an upstream fails under load,
+ * was refused everywhere for a minute (seen in bench:requests on a service
+ * whose cold upstreams fell over).
+ */
+export const FINISHED_MEMORY_MS = 10_000;
+
+/** Completed requests remembered; the oldest are dropped. */
+export const MAX_FINISHED = 4_096;
+
 /** Crashed upstreams remembered per fingerprint. */
 const MAX_UPSTREAMS = 16;
 
@@ -48,18 +59,18 @@
   /** Monotonic time up to which the request is refused, ms. */
   refusedUntil: number;
   refusalMs: number;
-  /** Monotonic time of the newest completed run, ms. */
-  finishedAt: number;
 }
 
 /** Requests in flight when upstreams crashed, by fingerprint. */
 export interface Suspects {
   readonly byFingerprint: Map<string, Suspect>;
+  /** Monotonic time of the newest completed run by fingerprint, ms. */
+  readonly finished: Map<string, number>;
 }
 
 /** Creates the state of a daemon that knows of no crash. */
 export function createSuspects(): Suspects {
-  return {byFingerprint: new Map()};
+  return {byFingerprint: new Map(), finished: new Map()};
 }
 
 /** Identifies a request by method, path with query, and body. */
@@ -87,14 +98,15 @@
 function noteCrash(state: Suspects, report: CrashReport, now: number): boolean {
   if (report.ageMs > CRASH_MEMORY_MS) return false;
   const at = now - report.ageMs;
+  if (finishedSince(state, report.fingerprint, at - FINISHED_MEMORY_MS)) {
+    return false;
+  }
   const suspect = findOrCreate(state, report.fingerprint, now);
   const known = suspect.upstreams.get(report.upstream);
   const repeated = known !== undefined && at - known.at <= SUSPECT_HOLD_MS;
   // Without this, copies of a cleared report would circulate in the mesh.
   if (repeated && report.crashes <= known.crashes) return false;
   noteUpstream(suspect, report, repeated ? known.at : at);
-  // A run completed after this crash, so the request was not its cause.
-  if (suspect.finishedAt >= at) return true;
   const separate =
     suspect.crashes === 0 || at - suspect.crashedAt > SAME_CRASH_MS;
   const counted = suspect.crashes + (separate && !repeated ? 1 : 0);
@@ -140,7 +152,6 @@
     running: 0,
     refusedUntil: -Infinity,
     refusalMs: 0,
-    finishedAt: -Infinity,
   };
   byFingerprint.set(fingerprint, created);
   return created;
@@ -153,11 +164,7 @@
 ): Suspect | undefined {
   const suspect = state.byFingerprint.get(fingerprint);
   if (!suspect) return undefined;
-  const last = Math.max(
-    suspect.refusedUntil,
-    suspect.crashedAt,
-    suspect.finishedAt,
-  );
+  const last = Math.max(suspect.refusedUntil, suspect.crashedAt);
   if (suspect.running > 0 || now - last <= CRASH_MEMORY_MS) return suspect;
   state.byFingerprint.delete(fingerprint);
   return undefined;
@@ -208,20 +215,35 @@
   if (suspect && suspect.running > 0) suspect.running--;
 }
 
-/** Clears a request that an upstream has completed. */
+/** Notes a completed run; it clears the request of earlier crashes. */
 export function noteFinished(
   state: Suspects,
   fingerprint: string,
   now: number,
 ): void {
-  if (state.byFingerprint.size === 0) return;
-  const suspect = state.byFingerprint.get(fingerprint);
+  const {finished, byFingerprint} = state;
+  // Set anew, so that the order of the map is the order of completion.
+  finished.delete(fingerprint);
+  finished.set(fingerprint, now);
+  if (finished.size > MAX_FINISHED) {
+    const [oldest] = finished.keys();
+    finished.delete(oldest);
+  }
+  const suspect = byFingerprint.get(fingerprint);
   if (!suspect) return;
   // The upstreams are kept, so that late copies of reports stay known.
   suspect.crashes = 0;
   suspect.refusalMs = 0;
   suspect.refusedUntil = -Infinity;
-  suspect.finishedAt = now;
+}
+
+function finishedSince(
+  state: Suspects,
+  fingerprint: string,
+  since: number,
+): boolean {
+  const at = state.finished.get(fingerprint);
+  return at !== undefined && at >= since;
 }
 
 /**
