Run scenarios on the in-memory network and the path on processes

Ruled out: cutting separate processes off from each other; on one machine that would take isolation tools. Such files are skipped there.

--- /dev/null
+++ b/__tests__/process.test.ts
@@ -0,0 +1,170 @@
+import test from 'ava';
+import {KEYS_PATH} from '../src/internal.js';
+import {createCustomer} from '../standins/customer.js';
+import {loadExample} from '../standins/example.js';
+import {startFleet, type Fleet} from '../standins/fleet.js';
+import {isWhole} from '../standins/transfer.js';
+
+// Waits are generous limits for a condition and no measurements.
+const LIMIT_MS = 30_000;
+const DOWNLOAD_BYTES = 2_000_000;
+const DOWNLOAD = `/catalogue/lookbooks/1?bytes=${DOWNLOAD_BYTES}&chunkMs=25`;
+
+const customer = createCustomer();
+let fleet: Fleet;
+
+test.before(async () => {
+  fleet = await startFleet({
+    document: loadExample('deployment-1'),
+    // Cold upstreams are the subject of other tests.
+    upstream: {serviceMs: 5, cold: {warmAfterRuns: 0}},
+    instances: [
+      {id: 'dyehouse-1', service: 'dyehouse', dataCentre: 'howrah'},
+      {id: 'dyehouse-2', service: 'dyehouse', dataCentre: 'salt-lake'},
+      {id: 'catalogue-1', service: 'catalogue', dataCentre: 'barasat'},
+    ],
+  });
+  await waitComplete();
+});
+
+test.after.always(async () => {
+  await customer.close();
+  await fleet?.stop();
+});
+
+/** Waits until every daemon is ready and sees the other two as live. */
+async function waitComplete(): Promise<void> {
+  await fleet.waitReady(LIMIT_MS);
+  await fleet.waitFor(
+    'every daemon sees all others',
+    async () => {
+      const all = await Promise.all(
+        fleet.instances.map(({id}) => fleet.readStatus(id)),
+      );
+      return all.every(status => {
+        const states = Object.values(status?.members ?? {});
+        return states.flatMap(state => state.live ?? []).length === 3;
+      });
+    },
+    LIMIT_MS,
+  );
+}
+
+/** Sends reads until the owner admits a few requests at a time. */
+async function warmUp(id: string): Promise<void> {
+  await fleet.waitFor(
+    `${id} is warm`,
+    async () => {
+      const reads = Array.from({length: 8}, () =>
+        customer.send(urlOf(id), {path: '/catalogue/items/1'}),
+      );
+      await Promise.all(reads);
+      const status = await fleet.readStatus(id);
+      return (status?.upstream?.limit ?? 0) >= 6;
+    },
+    LIMIT_MS,
+  );
+}
+
+function urlOf(id: string): string {
+  return fleet.get(id).daemon.customerUrl;
+}
+
+test.serial(
+  'a request that enters at any daemon reaches its service',
+  async t => {
+    for (const {id} of fleet.instances) {
+      const path = `/dye/status/1?op=route-${id}`;
+      const answer = await customer.send(urlOf(id), {path});
+      t.is(answer.status, 200);
+      t.is(answer.verdict, 'ran');
+      const runs = fleet.ledger.byOperation(`route-${id}`);
+      t.is(runs.length, 1);
+      t.regex(runs[0].upstream, /^dyehouse-/);
+    }
+  },
+);
+
+test.serial('a patch changes the route in every daemon', async t => {
+  fleet.publish('dye status is read from the catalogue', document => {
+    document.routes['dye-status'].service = 'catalogue';
+  });
+  await fleet.waitVersion(LIMIT_MS);
+  for (const {id} of fleet.instances) {
+    const path = `/dye/status/1?op=patched-${id}`;
+    const answer = await customer.send(urlOf(id), {path});
+    t.is(answer.status, 200);
+    const runs = fleet.ledger.byOperation(`patched-${id}`);
+    t.deepEqual(
+      runs.map(run => run.upstream),
+      ['catalogue-1'],
+    );
+  }
+});
+
+test.serial(
+  'a booking with a key that is repeated elsewhere runs once',
+  async t => {
+    const {key} = await customer.send(urlOf('dyehouse-1'), {
+      path: `${KEYS_PATH}?path=/dye/bookings&method=POST`,
+      method: 'POST',
+    });
+    const answers = [];
+    for (const {id} of fleet.instances) {
+      answers.push(
+        await customer.send(urlOf(id), {
+          path: '/dye/bookings?op=bath-1',
+          method: 'POST',
+          headers: {'idempotency-key': key},
+          body: '{"bath":1}',
+        }),
+      );
+    }
+    for (const {status, verdict, body} of answers) {
+      t.is(status, 200);
+      t.is(verdict, 'ran');
+      t.deepEqual(body, answers[0].body);
+    }
+    t.is(fleet.ledger.byOperation('bath-1').length, 1);
+  },
+);
+
+test.serial('SIGTERM cuts no download and ends with exit code 0', async t => {
+  const {daemon} = fleet.get('catalogue-1');
+  await warmUp('catalogue-1');
+  // One enters at the daemon that stops, one is forwarded to it.
+  const downloads = ['catalogue-1', 'dyehouse-1'].map(id =>
+    customer.send(urlOf(id), {path: `${DOWNLOAD}&op=download-${id}`}),
+  );
+  await fleet.waitFor(
+    'both downloads run',
+    () => fleet.get('catalogue-1').upstream.load().running === 2,
+    LIMIT_MS,
+  );
+  daemon.signal('SIGTERM');
+  for (const answer of await Promise.all(downloads)) {
+    t.is(answer.status, 200);
+    t.true(isWhole(answer.body, DOWNLOAD_BYTES));
+  }
+  t.is(await daemon.exited, 0);
+  fleet.restart('catalogue-1');
+  await waitComplete();
+});
+
+test.serial('a daemon that is killed leaves the others serving', async t => {
+  const {daemon} = fleet.get('dyehouse-1');
+  daemon.signal('SIGKILL');
+  t.is(await daemon.exited, 'SIGKILL');
+  for (const id of ['dyehouse-2', 'catalogue-1']) {
+    for (let n = 0; n < 10; n++) {
+      const {verdict} = await customer.send(urlOf(id), {
+        path: `/dye/bookings?op=after-${id}-${n}`,
+        method: 'POST',
+        body: '{}',
+      });
+      // A refused connection proves that nothing ran; it is tried elsewhere.
+      t.is(verdict, 'ran');
+      t.is(fleet.ledger.byOperation(`after-${id}-${n}`).length, 1);
+    }
+  }
+});
--- a/standins/scenario.ts
+++ b/standins/scenario.ts
@@ -44,6 +44,8 @@
   for: durationSchema,
   /** Entries that the customers use. */
   at: WHICH.default(['all']),
+  /** Each request crashes the upstream that runs it. */
+  crashes: z.boolean().default(false),
   /** Each operation uses a bound key and is sent again at other entries. */
   repeats: z.int().min(0).max(5).default(0),
 });
@@ -76,6 +78,9 @@
   }).optional(),
   /** Lowest version put in force since the start or the last check. */
   lowestServed: RANGE.optional(),
+  /** Upstreams that have crashed, and those that did so from load when cold. */
+  crashes: RANGE.optional(),
+  fallOvers: RANGE.optional(),
   /** No run has started in these daemons for this long. */
   noNewWork: z.strictObject({in: WHICH, for: durationSchema}).optional(),
   /** Some run has started in these daemons within this time. */
@@ -97,6 +102,11 @@
   restart: WHICH,
   /** Sets the error of wall clocks. */
   skew: z.strictObject({which: WHICH, by: durationSchema, behind: z.boolean()}),
+  /** Acts on the upstreams beside the daemons. */
+  upstreams: z.strictObject({
+    which: WHICH,
+    do: z.enum(['stall', 'release', 'crash', 'restart', 'chill']),
+  }),
   source: z.enum(['up', 'down', 'stale', 'backwards']),
   load: loadSchema,
   expect: expectSchema,
@@ -132,6 +142,18 @@
   return {name, args: parsed.data} as Step;
 });
 
+/** Lists what a scenario needs of some steps and expectations, by name. */
+export function findUses(
+  {steps}: Scenario,
+  names: ReadonlySet<string>,
+): string[] {
+  const used = steps.flatMap(({name, args}) => [
+    name,
+    ...(typeof args === 'object' ? Object.keys(args) : []),
+  ]);
+  return [...new Set(used)].filter(name => names.has(name));
+}
+
 /** Schema of a scenario file. */
 export const scenarioSchema = z.strictObject({
   title: z.string().min(10),
--- a/standins/scenario_checks.ts
+++ b/standins/scenario_checks.ts
@@ -34,6 +34,9 @@
   readonly requests: RequestCounts;
   /** Runs by operation. */
   readonly runs: ReadonlyMap<string, number>;
+  /** Crashes of upstreams; `fallOvers` are those from load when cold. */
+  readonly crashes: number;
+  readonly fallOvers: number;
   /** Most source calls within a second since the last check. */
   readonly peakSourceCalls: number;
   /** Lowest version put in force since the last check. */
@@ -102,6 +105,9 @@
       .flatMap(([operation, times]) =>
         checkRange(`runs of ${operation}`, times, wanted),
       ),
+  crashes: (wanted, {crashes}) => checkRange('crashes', crashes, wanted),
+  fallOvers: (wanted, {fallOvers}) =>
+    checkRange('fallOvers', fallOvers, wanted),
   lowestServed: (wanted, {lowestServed}) =>
     checkRange('lowest version', lowestServed, wanted),
   noNewWork: (wanted, {select, listWorking}) => {
--- a/standins/scenario_load.ts
+++ b/standins/scenario_load.ts
@@ -55,13 +55,16 @@
 
 async function sendOperation(
   run: Run,
-  {path, method, repeats}: StepArgs<'load'>,
+  {path, method, repeats, crashes}: StepArgs<'load'>,
   entries: readonly string[],
   operation: string,
 ): Promise<void> {
+  // A request that crashes upstreams is always the same one.
+  const name = crashes ? path : operation;
   const req: CustomerRequest = {
-    path: `${path}?op=${encodeURIComponent(operation)}`,
+    path: `${path}?op=${encodeURIComponent(name)}`,
     method,
+    headers: crashes ? {'x-crash': '1'} : {},
     body: method === 'POST' ? '{}' : undefined,
   };
   if (repeats === 0) return sendCounted(run, entries, req);
@@ -73,7 +76,7 @@
       method: 'POST',
     });
     if (!minted.key) return;
-    req.headers = {[HEADERS.key]: minted.key};
+    req.headers = {...req.headers, [HEADERS.key]: minted.key};
   } catch {
     return;
   }
--- a/standins/scenario_processes.ts
+++ b/standins/scenario_processes.ts
@@ -1,238 +1,11 @@
 import {readFileSync} from 'node:fs';
-import {createRandom} from '../src/internal.js';
-import {createCustomer, type Customer} from './customer.js';
-import {startFleet, type Fleet} from './fleet.js';
-import {pause, startLoad, type Run} from './scenario_load.js';
-import {
-  findFaults,
-  type DaemonView,
-  type ScenarioFacts,
-} from './scenario_checks.js';
-import {
-  listDaemons,
-  parseScenario,
-  resolveDocument,
-  selectDaemons,
-  type Scenario,
-  type Step,
-  type StepArgs,
-  type StepName,
-} from './scenario.js';
+import {createCustomer} from './customer.js';
+import {findUses, parseScenario} from './scenario.js';
+import {NOT_ON_PROCESSES, runOnProcesses} from './scenario_fleet.js';
 
 // Runs scenario files against separate processes, in real time:
 //   node dist/standins/scenario_processes.js scenarios/take_out.yaml ...
 
-const START_LIMIT_MS = 30_000;
-const POLL_MS = 100;
-
-/** Steps that separate processes on one machine cannot carry out. */
-const UNSUPPORTED: ReadonlySet<StepName> = new Set(['cut', 'heal', 'skew']);
-
-type Handler<N extends StepName> = (
-  run: Run,
-  args: StepArgs<N>,
-) => void | Promise<void>;
-
-const HANDLERS: {readonly [N in StepName]: Handler<N>} = {
-  advance: (_run, ms) => pause(ms),
-  publish,
-  'take-out': (run, name) => setDataCentre(run, name, 'out'),
-  'bring-back': (run, name) => setDataCentre(run, name, 'in'),
-  cut: refuseStep,
-  heal: refuseStep,
-  skew: refuseStep,
-  pause: (run, which) => {
-    for (const id of run.select(which)) {
-      run.paused.add(id);
-      run.fleet.get(id).daemon.signal('SIGSTOP');
-    }
-  },
-  resume: (run, which) => {
-    for (const id of run.select(which)) {
-      run.paused.delete(id);
-      run.fleet.get(id).daemon.signal('SIGCONT');
-    }
-  },
-  kill: (run, which) => killAll(run, which),
-  restart: async (run, which) => {
-    await killAll(run, which);
-    for (const id of run.select(which)) run.fleet.restart(id);
-  },
-  source: ({fleet}, mode) => {
-    if (mode === 'up') fleet.config.setMode({kind: 'up'});
-    if (mode === 'down') fleet.config.setMode({kind: 'down', how: 'reset'});
-    if (mode === 'backwards') fleet.config.setMode({kind: 'backwards', by: 1});
-    const index = fleet.config.series.index();
-    if (mode === 'stale') fleet.config.setMode({kind: 'stale', index});
-  },
-  load: startLoad,
-  expect: checkExpectation,
-};
-
-function refuseStep(): never {
-  throw new Error('not possible with separate processes');
-}
-
-async function killAll(run: Run, which: readonly string[]): Promise<void> {
-  for (const id of run.select(which)) {
-    const {daemon} = run.fleet.get(id);
-    daemon.signal('SIGKILL');
-    await daemon.exited;
-  }
-}
-
-function publish(
-  {fleet}: Run,
-  {set = {}, ops = [], base, author}: StepArgs<'publish'>,
-): void {
-  const {version, digest} = fleet.version();
-  const sets = Object.entries(set).map(([path, value]) => ({
-    op: 'replace',
-    path,
-    value,
-  }));
-  fleet.publishEntry('patch', {
-    base: base ?? version,
-    baseDigest: digest,
-    ops: [...sets, ...ops],
-    author,
-    note: '',
-  });
-}
-
-function setDataCentre(run: Run, name: string, state: 'in' | 'out'): void {
-  const set = {[`/dataCentres/${name}/state`]: state};
-  publish(run, {set, author: 'operator'});
-}
-
-async function checkExpectation(
-  run: Run,
-  wanted: StepArgs<'expect'>,
-): Promise<void> {
-  const endsAt = performance.now() + wanted.within;
-  for (;;) {
-    const faults = findFaults(wanted, await collectFacts(run, wanted.at));
-    if (faults.length === 0) break;
-    if (performance.now() >= endsAt) {
-      throw new Error(faults.slice(0, 8).join('; '));
-    }
-    await pause(POLL_MS);
-  }
-  if (wanted.sourceCallsPerSecond) run.callsPerSecond = [];
-}
-
-async function collectFacts(
-  run: Run,
-  at: readonly string[],
-): Promise<ScenarioFacts> {
-  const {fleet, select, paused} = run;
-  const ids = select(at).filter(
-    id => fleet.get(id).daemon.isRunning() && !paused.has(id),
-  );
-  const {runs} = fleet.ledger;
-  const perOperation = new Map<string, number>();
-  for (const {operation} of runs) {
-    perOperation.set(operation, (perOperation.get(operation) ?? 0) + 1);
-  }
-  return {
-    newest: fleet.version(),
-    daemons: await Promise.all(ids.map(id => describeDaemon(fleet, id))),
-    requests: run.counts,
-    runs: perOperation,
-    peakSourceCalls: Math.max(0, ...run.callsPerSecond),
-    // Status shows only the version of the moment.
-    lowestServed: Number.NaN,
-    select,
-    listWorking: ms => {
-      const since = performance.now() - ms;
-      const recent = runs.filter(({startedAtMs}) => startedAtMs > since);
-      return new Set(recent.map(({upstream}) => upstream));
-    },
-  };
-}
-
-async function describeDaemon(fleet: Fleet, id: string): Promise<DaemonView> {
-  const status = await fleet.readStatus(id);
-  const members = Object.values(status?.members ?? {}).flatMap(states =>
-    Object.entries(states).flatMap(([state, known]) =>
-      known.map(member => [member, state] as const),
-    ),
-  );
-  return {
-    id,
-    version: status?.version?.version ?? 0,
-    digest: status?.version?.digest ?? '',
-    confirmed: status?.version?.confirmed ?? false,
-    viewStale: status?.viewStale ?? false,
-    refusals: (status?.refusals ?? []).map(({reason}) => reason),
-    members: new Map(members),
-  };
-}
-
-function sampleCalls(run: Run): void {
-  let before = run.fleet.config.counts.calls;
-  const timer = setInterval(() => {
-    const {calls} = run.fleet.config.counts;
-    run.callsPerSecond.push(calls - before);
-    before = calls;
-  }, 1_000);
-  run.timers.add(timer);
-}
-
-async function runScenario(
-  scenario: Scenario,
-  customer: Customer,
-): Promise<void> {
-  const daemons = listDaemons(scenario.given);
-  const fleet = await startFleet({
-    instances: daemons,
-    document: resolveDocument(scenario.given),
-    upstream: {cold: {warmAfterRuns: 0}},
-  });
-  const run: Run = {
-    fleet,
-    customer,
-    random: createRandom(scenario.given.seed),
-    counts: {sent: 0, answered: 0, refused: 0, unclear: 0, reasons: {}},
-    paused: new Set(),
-    timers: new Set(),
-    callsPerSecond: [],
-    select: which => selectDaemons(daemons, which),
-  };
-  try {
-    await fleet.waitReady(START_LIMIT_MS);
-    await fleet.waitVersion(START_LIMIT_MS);
-    sampleCalls(run);
-    for (const [i, step] of scenario.steps.entries()) {
-      await execute(run, step, i + 1);
-    }
-  } finally {
-    for (const timer of run.timers) clearInterval(timer);
-    for (const id of run.paused) fleet.get(id).daemon.signal('SIGCONT');
-    await fleet.stop();
-  }
-}
-
-async function execute(run: Run, step: Step, position: number): Promise<void> {
-  try {
-    const handler = HANDLERS[step.name] as Handler<StepName>;
-    await handler(run, step.args);
-  } catch (err) {
-    const reason = err instanceof Error ? err.message : String(err);
-    throw new Error(`step ${position} (${step.name}): ${reason}`, {cause: err});
-  }
-}
-
-function findUnsupported({steps}: Scenario): string[] {
-  const names = steps
-    .filter(({name}) => UNSUPPORTED.has(name))
-    .map(({name}) => name as string);
-  const needsHistory = steps.some(
-    step => step.name === 'expect' && step.args.lowestServed,
-  );
-  return [...new Set([...names, ...(needsHistory ? ['lowestServed'] : [])])];
-}
-
 async function main(files: readonly string[]): Promise<void> {
   for (const signal of ['SIGINT', 'SIGTERM'] as const) {
     process.once(signal, () => process.exit(1));
@@ -240,13 +13,13 @@
   const customer = createCustomer();
   for (const file of files) {
     const scenario = parseScenario(readFileSync(file, 'utf8'));
-    const unsupported = findUnsupported(scenario);
-    if (unsupported.length > 0) {
-      process.stdout.write(`skip ${file}: ${unsupported.join(', ')}\n`);
+    const missing = findUses(scenario, NOT_ON_PROCESSES);
+    if (missing.length > 0) {
+      process.stdout.write(`skip ${file}: ${missing.join(', ')}\n`);
       continue;
     }
     try {
-      await runScenario(scenario, customer);
+      await runOnProcesses(scenario, customer);
       process.stdout.write(`ok   ${file}: ${scenario.title}\n`);
     } catch (err) {
       process.exitCode = 1;
