Give restarting test servers ports that nothing else can take

The message was not kept, so a taken port is the likely cause and not a proven one. Ruled out: a fault found by the audit; that would fail an assertion instead of throwing. Conclusion: ports of restarting servers lie below that range.

--- a/__tests__/support/owner_fake.ts
+++ b/__tests__/support/owner_fake.ts
@@ -22,6 +22,7 @@
   type EntryDeps,
 } from '../../src/daemon/entry.js';
 import {sendRefusal} from '../../src/daemon/http.js';
+import {findPort} from '../../standins/ports.js';
 
 /** Shared key of the daemons under test. */
 export const PEER_KEY = 'test-key-of-16-chars';
@@ -78,8 +79,9 @@
   const server = http.createServer((req, res) => {
     void readAll(req).then(body => serve(owner, ledger, req, res, body));
   });
-  await listen(server, 0);
-  owner.record.peerPort = (server.address() as AddressInfo).port;
+  // A port of the system's own range could be taken while the owner is down.
+  owner.record.peerPort = await findPort();
+  await listen(server, owner.record.peerPort);
   return owner;
 }
 
--- a/__tests__/support/upstream_fake.ts
+++ b/__tests__/support/upstream_fake.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {findPort} from '../../standins/ports.js';
 
 /** One request that reached the fake upstream. */
 export interface LedgerEntry {
@@ -67,9 +67,10 @@
   /** Listens, after a crash on the same port as before. */
   async start(): Promise<void> {
     this.server = createServer((req, res) => this.serve(req, res));
+    // A port of the system's own range could be taken after a crash.
+    if (this.port === 0) this.port = await findPort();
     this.server.listen(this.port, '127.0.0.1');
     await once(this.server, 'listening');
-    this.port = (this.server.address() as AddressInfo).port;
   }
 
   /** Resets all connections and refuses new ones. */
--- a/standins/ports.ts
+++ b/standins/ports.ts
@@ -1,4 +1,5 @@
 import {createServer} from 'node:net';
+import {threadId} from 'node:worker_threads';
 
 // Below the range that the system takes outgoing ports from, so that a port
 // found free stays free until a daemon binds it.
@@ -6,7 +7,8 @@
 const BLOCK_SIZE = 100;
 const BLOCKS = 120;
 
-let block = process.pid % BLOCKS;
+// Test files run as threads of one process, each with its own copy of this.
+let block = (process.pid + threadId * 7) % BLOCKS;
 let offset = 0;
 
 /** Finds a port on 127.0.0.1 that nothing listens on; never the same twice. */
