Keep reading through an outage after a take-over

A rank that has taken over stops for 3 s in every 20 s to see whether another reader succeeds. Without a success of its own nothing hides that, so the pause only added two events per period during an outage. The outage test failed on the readerStopped events before the change.

--- a/__tests__/reader.test.ts
+++ b/__tests__/reader.test.ts
@@ -69,6 +69,8 @@
   t.true(calls < MAX_READER_RANKS * (120 / 5 + 7) * 1.5);
   const {failures, nextReadAt} = boards[0].reader;
   t.true(failures > 15 && nextReadAt <= 130_000);
+  const events = boards.flatMap(board => board.timeline.events);
+  t.false(events.some(event => event.kind === 'readerStopped'));
 });
 
 test('a success in another data centre does not hide an outage', t => {
--- a/src/core/reader.ts
+++ b/src/core/reader.ts
@@ -201,14 +201,16 @@
 
 /** Ends a take-over when another reader succeeds; pauses at times to see it. */
 function keepTakeOver(reader: ReaderState, now: number): boolean {
-  const {tookOverAt = now, succeededAt = tookOverAt, reportedAt} = reader;
+  const {tookOverAt = now, succeededAt = -Infinity, reportedAt} = reader;
   const own = Math.max(tookOverAt, succeededAt);
   if (reportedAt !== undefined && reportedAt > own + ECHO_MARGIN_MS) {
     reader.tookOverAt = undefined;
     return false;
   }
   const heldMs = now - tookOverAt;
-  if (heldMs < TAKEOVER_HOLD_MS) return true;
+  // Without a success of our own there is nothing that hides those of others.
+  const hides = succeededAt >= tookOverAt;
+  if (!hides || heldMs < TAKEOVER_HOLD_MS) return true;
   if (heldMs < TAKEOVER_HOLD_MS + TAKEOVER_CHECK_MS) return false;
   reader.tookOverAt = now;
   return true;
