Keep the hashes of a peer across beats without them

Cause: handleBeatConfig stored the beat as received, so after one beat without hashes those of the peer were forgotten and a lasting difference was compared only with every fifth beat. The new test failed before: the second request for the bucket was missing.

--- a/__tests__/membership.test.ts
+++ b/__tests__/membership.test.ts
@@ -8,6 +8,7 @@
   handleBeatMembers,
   handleList,
   handleMembers,
+  handleMessage,
   handleTick,
   handleWantMembers,
   listMembers,
@@ -196,6 +197,21 @@
   t.is(handleBeatMembers(a, 'b', beat(b), 2_000).length, 0);
 });
 
+test('a beat without hashes does not hide that tables still differ', t => {
+  const [a, b] = [board('a'), board('b')];
+  a.members.askedAll = true;
+  tell(a, [record('b')]);
+  tell(b, [record('a'), record('x')]);
+  link(a, 'b');
+  const short = {...beat(b), buckets: []};
+  const asks = [beat(b), short, short, short, short].map((msg, i) =>
+    handleMessage(a, 'b', msg, 2_000 * i).some(
+      effect => effect.kind === 'send' && effect.msg.t === 'wantMembers',
+    ),
+  );
+  t.deepEqual(asks, [false, true, false, false, true]);
+});
+
 test('a lagging list neither kills nor keeps marking a live member', t => {
   const b = board('me');
   tell(b, [record('x')]);
--- a/src/core/control.ts
+++ b/src/core/control.ts
@@ -90,8 +90,9 @@
     const echo = {...createBeat(board, now), echo: msg.ask};
     effects.push({kind: 'send', to: from, msg: echo});
   }
-  effects.push(...handleBeatMembers(board, from, link?.beat ?? msg, now));
-  effects.push(...handleBeatConfig(board, from, msg, now));
+  const beat = link?.beat ?? msg;
+  effects.push(...handleBeatMembers(board, from, beat, now));
+  effects.push(...handleBeatConfig(board, from, beat, now));
   return effects;
 }
 
