--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -6,7 +6,7 @@
 } from '../types/document.js';
 import {MESSAGES} from '../types/messages.js';
 import {count, type Board} from './blackboard.js';
-import {measureJson, type Checked} from './json.js';
+import {MAX_REASON, measureJson, type Checked} from './json.js';
 import {recordEvent} from './timeline.js';
 import {checkDocument, createVersion, judgeEntry} from './versions.js';
 
@@ -212,7 +212,7 @@
     index: entry.index,
     author: typeof value.author === 'string' ? value.author.slice(0, 100) : '',
     base: Number.isSafeInteger(value.base) ? (value.base as number) : 0,
-    reason: judged.faults.join('; ').slice(0, 500),
+    reason: judged.faults.join('; ').slice(0, MAX_REASON),
   };
 }
 
@@ -290,13 +290,16 @@
 }
 
 function noteReports(board: Board, now: number): void {
-  const {learning} = board.config;
+  const {learning, current} = board.config;
   const gapMs = now - (learning.updatedAt ?? board.startedAt);
   learning.elapsedMs += Math.min(Math.max(gapMs, 0), LEARN_STEP_MS);
   learning.updatedAt = now;
   for (const {peer, beat} of board.links.values()) {
     if (!beat || beat.version === 0) continue;
-    learning.highest = Math.max(learning.highest, beat.version);
+    // Other content of our version confirms nothing.
+    const {version, digest} = beat;
+    if (version === current?.version && digest !== current.digest) continue;
+    learning.highest = Math.max(learning.highest, version);
     // A peer that is itself still learning reports what it happens to hold,
     // so its report does not shorten the window.
     if (!beat.confirmed) continue;
