Warm the upstreams up before the benchmark of the request path

The first run measured the cold start instead of the move: with all upstreams cold, 800 calls/s from the start gave 75 answers/s in the phase before the move. Both targets now start from cold upstreams and raise the load until 99% is answered; the time that takes is a figure of its own.

--- a/bench/requests.ts
+++ b/bench/requests.ts
@@ -25,8 +25,13 @@
 // npm run bench:requests -- --rate 800 --pairs 1500 --out requests.json
 
 const READY_LIMIT_MS = 60_000;
-/** The first seconds are spent on compilation, which is no steady cost. */
-const WARM_UP_S = 6;
+/** Shares of the rate at which cold upstreams are warmed up, 3 s each. */
+const WARM_UP_SHARES = [0.1, 0.25, 0.5, 1];
+const WARM_UP_STEP_S = 3;
+/** Then the whole rate, until this share is answered or the windows end. */
+const WARM_SHARE = 0.99;
+const WARM_WINDOW_S = 2;
+const WARM_WINDOWS = 8;
 const IDLE_S = 4;
 const MOVED = 'dc-2';
 const DATA_CENTRES = ['dc-0', 'dc-1', MOVED];
@@ -159,6 +164,42 @@
   target.move('in');
 }
 
+interface WarmUp {
+  target: string;
+  service: string;
+  seconds: number;
+  /** Share of the last window that was answered. */
+  share: number;
+}
+
+/** Makes the upstreams cold and raises the load until all is answered. */
+async function warmUpService(
+  fleet: Fleet,
+  target: Target,
+  service: 'shop' | 'small',
+  rate: number,
+): Promise<WarmUp> {
+  for (const instance of fleet.instances) {
+    if (instance.service === service) instance.upstream.chill();
+  }
+  const agent = createAgent();
+  const next = createTraffic(target, service);
+  const startedAt = performance.now();
+  const send = async (perSecond: number, seconds: number) => {
+    const received = createReceived();
+    await sendAtRate(agent, perSecond, seconds, next, received, new Set());
+    return received.answered / received.sent;
+  };
+  for (const part of WARM_UP_SHARES) await send(rate * part, WARM_UP_STEP_S);
+  let share = 0;
+  for (let i = 0; i < WARM_WINDOWS && share < WARM_SHARE; i++) {
+    share = await send(rate, WARM_WINDOW_S);
+  }
+  await agent.close();
+  const seconds = round((performance.now() - startedAt) / 1_000);
+  return {target: target.name, service, seconds, share: round(share)};
+}
+
 interface MoveRow {
   target: string;
   phase: PhaseName;
@@ -173,11 +214,16 @@
   fleet: Fleet,
   target: Target,
   rate: number,
-): Promise<{rows: MoveRow[]; bookedTwice: number; falseNotRun: number}> {
+): Promise<{
+  rows: MoveRow[];
+  warmUp: WarmUp;
+  bookedTwice: number;
+  falseNotRun: number;
+}> {
   const agent = createAgent();
   const notRun: NotRun = new Set();
   const next = createTraffic(target, 'shop');
-  await sendAtRate(agent, rate, WARM_UP_S, next, createReceived(), notRun);
+  const warmUp = await warmUpService(fleet, target, 'shop', rate);
   const moving = moveDataCentre(fleet, target);
   const phases = PHASES.map(phase => ({...phase, received: createReceived()}));
   const sending: Promise<void>[] = [];
@@ -193,7 +239,7 @@
     phase: name,
     ...summarize(received, seconds),
   }));
-  return {rows, ...audit(fleet, target, notRun)};
+  return {rows, warmUp, ...audit(fleet, target, notRun)};
 }
 
 function summarize(received: Received, seconds: number) {
@@ -258,14 +304,11 @@
   };
 }
 
-async function measureGoodput(target: Target) {
+async function measureGoodput(fleet: Fleet, target: Target) {
   const agent = createAgent();
   const next = createTraffic(target, 'small');
-  // From a cold start the rate below would measure only the warm-up.
-  const low = SMALL_CAPACITY / 10;
-  const ignored = createReceived();
-  await sendAtRate(agent, low, WARM_UP_S, next, ignored, new Set());
-  await sendAtRate(agent, low * 4, WARM_UP_S, next, ignored, new Set());
+  const half = SMALL_CAPACITY / 2;
+  const warmUp = await warmUpService(fleet, target, 'small', half);
   const rows = [];
   for (const factor of OVERLOADS) {
     const received = createReceived();
@@ -277,7 +320,7 @@
     await delay(1_000);
   }
   await agent.close();
-  return rows;
+  return {rows, warmUp};
 }
 
 /** Processor time per call of all processes of a target, ms. */
@@ -359,12 +402,15 @@
       await measureCpu(current, rate / 2),
       await measureCpu(naiveShop, rate / 2),
     ];
-    const goodput = [
-      ...(await measureGoodput(current)),
-      ...(await measureGoodput(naiveSmall)),
-    ];
+    const overloads = [];
+    for (const target of [current, naiveSmall]) {
+      overloads.push(await measureGoodput(fleet, target));
+    }
+    const goodput = overloads.flatMap(({rows}) => rows);
+    const warmUps = [...moves, ...overloads].map(({warmUp}) => warmUp);
     const latency = await measureLatency(fleet, Number(values.pairs));
-    const figures = {rate, moved, audits, cpu, goodput, latency};
+    const figures = {rate, warmUps, moved, audits, cpu, goodput, latency};
+    console.table(warmUps);
     console.table(moved);
     console.table(audits);
     console.table(cpu);
