--- a/__tests__/owner_schedule.test.ts
+++ b/__tests__/owner_schedule.test.ts
@@ -101,7 +101,12 @@
     const faults = await play(schedule, true);
     if (faults.length > 0) throw new Error(faults.join('; '));
   });
-  await fc.assert(real, {seed: 23, numRuns: 40, endOnFailure: true});
+  await fc.assert(real, {
+    seed: 23,
+    numRuns: 40,
+    endOnFailure: true,
+    includeErrorInReport: true,
+  });
   const naive = fc.asyncProperty(schedules, async schedule => {
     const faults = await play(schedule, false);
     return !faults.some(fault => fault.includes('times'));
--- a/__tests__/support/owner_fake.ts
+++ b/__tests__/support/owner_fake.ts
@@ -22,7 +22,7 @@
   type EntryDeps,
 } from '../../src/daemon/entry.js';
 import {sendRefusal} from '../../src/daemon/http.js';
-import {findPort} from '../../standins/ports.js';
+import {findPort, OWN_ADDRESS} from '../../standins/ports.js';
 
 /** Shared key of the daemons under test. */
 export const PEER_KEY = 'test-key-of-16-chars';
@@ -73,15 +73,15 @@
     seen: [],
     step: () => 'answer',
     crashed: false,
-    start: () => listen(server, owner.record.peerPort),
+    start: () => listen(server, owner.record.peerPort, OWN_ADDRESS),
     stop: () => closeServer(server),
   };
   const server = http.createServer((req, res) => {
     void readAll(req).then(body => serve(owner, ledger, req, res, body));
   });
-  // A port of the system's own range could be taken while the owner is down.
+  // The port must still be free when the owner returns.
   owner.record.peerPort = await findPort();
-  await listen(server, owner.record.peerPort);
+  await listen(server, owner.record.peerPort, OWN_ADDRESS);
   return owner;
 }
 
@@ -156,9 +156,13 @@
   );
 }
 
-async function listen(server: http.Server, port: number): Promise<void> {
+async function listen(
+  server: http.Server,
+  port: number,
+  host = '127.0.0.1',
+): Promise<void> {
   const listening = once(server, 'listening');
-  server.listen(port, '127.0.0.1');
+  server.listen(port, host);
   await listening;
 }
 
@@ -179,7 +183,7 @@
     dataCentre: 'dc-a',
     region: 'r1',
     service: 'shop',
-    host: '127.0.0.1',
+    host: OWN_ADDRESS,
     customerPort: 1,
     peerPort: 1,
     state: 'live',
--- a/__tests__/support/upstream_fake.ts
+++ b/__tests__/support/upstream_fake.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {findPort} from '../../standins/ports.js';
+import {findPort, OWN_ADDRESS} from '../../standins/ports.js';
 
 /** One request that reached the fake upstream. */
 export interface LedgerEntry {
@@ -61,15 +61,15 @@
   private server?: Server;
 
   get url(): string {
-    return `http://127.0.0.1:${this.port}`;
+    return `http://${OWN_ADDRESS}:${this.port}`;
   }
 
   /** Listens, after a crash on the same port as before. */
   async start(): Promise<void> {
     this.server = createServer((req, res) => this.serve(req, res));
-    // A port of the system's own range could be taken after a crash.
+    // The port must still be free after a crash.
     if (this.port === 0) this.port = await findPort();
-    this.server.listen(this.port, '127.0.0.1');
+    this.server.listen(this.port, OWN_ADDRESS);
     await once(this.server, 'listening');
   }
 
--- a/standins/ports.ts
+++ b/standins/ports.ts
@@ -1,5 +1,4 @@
 import {createServer} from 'node:net';
-import {threadId} from 'node:worker_threads';
 
 // Below the range that the system takes outgoing ports from, so that a port
 // found free stays free until a daemon binds it.
@@ -7,10 +6,15 @@
 const BLOCK_SIZE = 100;
 const BLOCKS = 120;
 
-// Test files run as threads of one process, each with its own copy of this.
-let block = (process.pid + threadId * 7) % BLOCKS;
+let block = process.pid % BLOCKS;
 let offset = 0;
 
+/**
+ * Loopback address of this process alone. A server that closes and listens
+ * again on its port would otherwise lose it to another process at times.
+ */
+export const OWN_ADDRESS = `127.1.${(process.pid >> 8) & 255}.${process.pid & 255}`;
+
 /** Finds a port on 127.0.0.1 that nothing listens on; never the same twice. */
 export async function findPort(): Promise<number> {
   for (let tries = 0; tries < BLOCKS * BLOCK_SIZE; tries++) {
