Leave time for the owner's word before the entry's deadline

Cause: under overload most failures were reported as may-have-run. Entry and owner had one deadline, so the entry gave up as the owner's refusal of a waiting request was on its way; and a refusal late in the deadline was retried with no time for an answer. Ruled out: requests that really started late (owners counted 3 to 4 answers past the deadline each, against about 2,400 reported by each entry).

--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -37,6 +37,12 @@
 /** Checks of a held request before it is refused; 1 s in all. */
 const HOLD_POLLS = 50;
 
+/** Longest part of the deadline kept back from the owner, ms. */
+const OWNER_MARGIN_MS = 50;
+
+/** Share of a short deadline that is kept back from the owner. */
+const OWNER_MARGIN_SHARE = 0.1;
+
 /** Outcomes after which an owner counts as full for a while. */
 const UNAVAILABLE = new Set<Outcome>([
   'dataCentreOut',
@@ -168,6 +174,17 @@
   return result;
 }
 
+/**
+ * Time that the owner gets, ms. It ends before the entry's own deadline, so that
+ * the owner's word that a waiting request was not run arrives in time. With one
+ * deadline for both, most requests that waited in vain were reported as may have
+ * run.
+ */
+function computeOwnerDeadline(remainingMs: number): number {
+  const marginMs = Math.min(OWNER_MARGIN_MS, remainingMs * OWNER_MARGIN_SHARE);
+  return Math.max(1, Math.floor(remainingMs - marginMs));
+}
+
 function buildForwardRequest(
   state: EntryState,
   exchange: Exchange,
@@ -179,7 +196,7 @@
   const {matched, method, target} = intake;
   const {timeline} = board;
   timeline.hlc = tickHlc(timeline.hlc, Date.now());
-  const deadlineMs = String(Math.max(1, Math.floor(exchange.deadlineAt - at)));
+  const deadlineMs = String(computeOwnerDeadline(exchange.deadlineAt - at));
   // Owners take bound keys only; an idempotent request needs none.
   const idempotencyKey = exchange.boundTo ? (intake.key ?? '') : '';
   const mac = sign(
@@ -231,6 +248,8 @@
     return false;
   }
   const {outcome, vouched} = result;
+  const {version, matched} = intake;
+  const {expectedMs} = version.document.services[matched.route.service];
   noteFailedAttempt(state, exchange, intake, outcome, judgement);
   exchange.outcome = combineOutcomes(exchange.outcome, outcome);
   const again =
@@ -240,7 +259,9 @@
       idempotent: intake.matched.route.idempotent,
       budget: exchange.budget,
       tried: exchange.tried.size,
-      remainingMs: exchange.deadlineAt - now(),
+      // A retry that cannot be answered in time would turn a refusal that was
+      // not run into a request that may have run.
+      remainingMs: exchange.deadlineAt - now() - expectedMs,
       crashes: exchange.crashes,
       suspect: judgement.crashes > 0,
     });
