--- a/src/cli/commands/patch.ts
+++ b/src/cli/commands/patch.ts
@@ -71,8 +71,6 @@
   }
 }
 
-const dcFlags = patchFlags;
-
 /** Makes the patch that takes a data centre out of service. */
 export class DcTakeOutCommand extends BaseCommand {
   static override description =
@@ -82,7 +80,7 @@
     '<%= config.bin %> dc take-out howrah --from http://127.0.0.1:7003',
   ];
   static override args = {name: Args.string({required: true})};
-  static override flags = dcFlags;
+  static override flags = patchFlags;
 
   override async run(): Promise<void> {
     const {args, flags} = await this.parse(DcTakeOutCommand);
@@ -100,7 +98,7 @@
     '<%= config.bin %> dc bring-back howrah --from http://127.0.0.1:7003',
   ];
   static override args = {name: Args.string({required: true})};
-  static override flags = dcFlags;
+  static override flags = patchFlags;
 
   override async run(): Promise<void> {
     const {args, flags} = await this.parse(DcBringBackCommand);
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -40,6 +40,7 @@
 import {createForwarder} from './forward.js';
 import {bufferBody, checkHead, type Intake} from './intake.js';
 
+/** What an entry needs from its daemon. */
 export type {EntryDeps} from './exchange.js';
 
 /** Request handler of the customer port. */
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -34,6 +34,7 @@
   type OwnerState,
 } from './owner_state.js';
 
+/** What the daemon gives to the owner. */
 export type {OwnerDeps} from './owner_state.js';
 
 /** Total of request bodies that wait or run, bytes: a quarter of the memory. */
