Keep running requests alive on a second stop signal

Cause: the signal handlers were removed after the first signal, so a second SIGTERM during the stop ended the process and cut downloads, although the operations page says that it does nothing. Found in the read-through. Ruled out: a fault of the stop itself; one signal cut nothing before either.

--- a/__tests__/process.test.ts
+++ b/__tests__/process.test.ts
@@ -142,6 +142,13 @@
     LIMIT_MS,
   );
   daemon.signal('SIGTERM');
+  await fleet.waitFor(
+    'the daemon leaves',
+    async () => (await daemon.readAdmin('/ready'))?.status === 503,
+    LIMIT_MS,
+  );
+  // An impatient second signal must not cut what the first one spares.
+  daemon.signal('SIGTERM');
   for (const answer of await Promise.all(downloads)) {
     t.is(answer.status, 200);
     t.true(isWhole(answer.body, DOWNLOAD_BYTES));
--- a/src/cli/commands/daemon.ts
+++ b/src/cli/commands/daemon.ts
@@ -22,8 +22,10 @@
     limitYoungGeneration();
     const daemon = await startDaemon(loadSettings(flags.config));
     await new Promise<void>(resolve => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
+      // The handlers stay, since a second signal would otherwise end the
+      // process at once and cut the requests that the stop waits for.
+      process.on('SIGTERM', resolve);
+      process.on('SIGINT', resolve);
     });
     await daemon.stop();
   }
--- a/src/daemon/intake.ts
+++ b/src/daemon/intake.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {
+  CONNECTION_HEADERS,
   HEADERS,
   MAX_DEPTH,
   computeTimeout,
@@ -86,18 +87,9 @@
 
 /** Headers that describe one connection, or that the forwarder sets. */
 const NOT_FORWARDED = new Set([
-  'connection',
+  ...CONNECTION_HEADERS,
   'content-length',
-  'expect',
   'idempotency-key',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
 ]);
 
 function copyHeaders(req: IncomingMessage): string[] {
--- a/src/daemon/owner_forward.ts
+++ b/src/daemon/owner_forward.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import {
+  CONNECTION_HEADERS,
   FORWARD_PREFIX,
   HEADERS,
   parseKey,
@@ -20,20 +21,7 @@
 const ID_PATTERN = /^[\w.:~-]{1,128}$/;
 const FINGERPRINT_PATTERN = /^[0-9a-f]{16,64}$/;
 
-// Headers of one connection, which must not pass to the next one.
-const HOP_HEADERS = new Set([
-  'connection',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+const HOP_HEADERS = new Set([...CONNECTION_HEADERS, 'host']);
 
 /** Checked head of a forwarded request. */
 export interface Forward {
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -23,3 +23,17 @@
 
 /** Path at which customers obtain a bound idempotency key. */
 export const KEYS_PATH = '/.well-known/berylbend/keys';
+
+/** Headers that describe one connection and must not pass to the next one. */
+export const CONNECTION_HEADERS: readonly string[] = [
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+];
