--- a/src/core/blackboard.ts
+++ b/src/core/blackboard.ts
@@ -91,7 +91,10 @@
   };
 }
 
+/** Counters of one daemon by metric name. */
+export type Counters = Pick<Board, 'counters'>;
+
 /** Adds to a counter. */
-export function count(board: Board, name: string, by = 1): void {
+export function count(board: Counters, name: string, by = 1): void {
   board.counters.set(name, (board.counters.get(name) ?? 0) + by);
 }
--- /dev/null
+++ b/src/core/upstream_list.ts
@@ -0,0 +1,126 @@
+import type {MeshUpstream} from '../types/mesh.js';
+
+/**
+ * Time for which an entry that vanished around an outage of the list is kept,
+ * ms. The platform restores entries of live upstreams within about 2 s of its
+ * return; an entry that is still missing then is gone.
+ */
+export const LAPSE_GRACE_MS = 2_200;
+
+/** One upstream with what the list says of it. */
+export interface ListedUpstream extends MeshUpstream {
+  /** Monotonic time up to which the upstream is cold, ms. */
+  coldUntil: number;
+  /** Monotonic time at which the vanished entry counts as gone, ms. */
+  goneAt?: number;
+}
+
+/** What this daemon knows of upstreams and of data centres taken out. */
+export interface UpstreamList {
+  readonly byId: Map<string, ListedUpstream>;
+  byService: ReadonlyMap<string, readonly ListedUpstream[]>;
+  readonly takenOut: Set<string>;
+  /** True once the list has been read whole. */
+  complete: boolean;
+  /** Monotonic time up to which vanished entries are kept, ms. */
+  doubtUntil: number;
+}
+
+/** Creates an empty list. */
+export function createUpstreamList(): UpstreamList {
+  return {
+    byId: new Map(),
+    byService: new Map(),
+    takenOut: new Set(),
+    complete: false,
+    doubtUntil: -Infinity,
+  };
+}
+
+/** Takes over an entry of the list; returns true when it is news. */
+export function putUpstream(
+  list: UpstreamList,
+  record: MeshUpstream,
+  now: number,
+): boolean {
+  const known = list.byId.get(record.id);
+  // A start time that lies behind the known one belongs to a late write.
+  if (known && record.bornAt < known.bornAt) return false;
+  const coldUntil = now + record.coldMs;
+  list.byId.set(record.id, {...record, coldUntil});
+  dropPredecessors(list, record);
+  indexByService(list);
+  return (
+    !known ||
+    known.state !== record.state ||
+    known.bornAt !== record.bornAt ||
+    known.goneAt !== undefined
+  );
+}
+
+/** An address serves one upstream: a younger entry replaces an older one. */
+function dropPredecessors(list: UpstreamList, record: MeshUpstream): void {
+  for (const other of list.byId.values()) {
+    if (other.id === record.id || other.bornAt >= record.bornAt) continue;
+    if (other.host === record.host && other.port === record.port) {
+      list.byId.delete(other.id);
+    }
+  }
+}
+
+/** Notes that an entry has vanished; returns true when it is news. */
+export function removeUpstream(
+  list: UpstreamList,
+  id: string,
+  now: number,
+): boolean {
+  const known = list.byId.get(id);
+  if (!known || known.goneAt !== undefined) return false;
+  if (known.state === 'live' && now < list.doubtUntil) {
+    known.goneAt = list.doubtUntil;
+    return false;
+  }
+  list.byId.delete(id);
+  indexByService(list);
+  return true;
+}
+
+/** Notes a fault of the list; vanished entries are kept for a while. */
+export function noteListFault(list: UpstreamList, now: number): void {
+  list.doubtUntil = Math.max(list.doubtUntil, now + LAPSE_GRACE_MS);
+}
+
+/** Drops entries whose grace has ended; returns their ids. */
+export function expireUpstreams(list: UpstreamList, now: number): string[] {
+  const expired: string[] = [];
+  for (const {id, goneAt} of list.byId.values()) {
+    if (goneAt !== undefined && now >= goneAt) expired.push(id);
+  }
+  for (const id of expired) list.byId.delete(id);
+  if (expired.length > 0) indexByService(list);
+  return expired;
+}
+
+function indexByService(list: UpstreamList): void {
+  const byService = new Map<string, ListedUpstream[]>();
+  for (const upstream of list.byId.values()) {
+    const group = byService.get(upstream.service);
+    if (group) group.push(upstream);
+    else byService.set(upstream.service, [upstream]);
+  }
+  list.byService = byService;
+}
+
+/** Finds the youngest upstream at an address. */
+export function findByAddress(
+  list: UpstreamList,
+  host: string,
+  port: number,
+): ListedUpstream | undefined {
+  let youngest: ListedUpstream | undefined;
+  for (const upstream of list.byId.values()) {
+    if (upstream.host !== host || upstream.port !== port) continue;
+    if (!youngest || upstream.bornAt > youngest.bornAt) youngest = upstream;
+  }
+  return youngest;
+}
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,6 +1,6 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 import {Counter, Gauge, Registry} from 'prom-client';
-import type {Board} from '../internal.js';
+import type {Counters} from '../internal.js';
 
 /** Largest latency that a histogram records, µs (one hour). */
 const MAX_LATENCY_US = 3_600_000_000;
@@ -39,7 +39,7 @@
 
 /** Renders counters, gauges and percentiles in the Prometheus text format. */
 export async function renderMetrics(
-  board: Board,
+  board: Counters,
   metrics: Metrics,
   gauges: Record<string, number>,
 ): Promise<string> {
--- /dev/null
+++ b/src/sidecar/board.ts
@@ -0,0 +1,80 @@
+import {
+  createGate,
+  createResendBudget,
+  createSuspects,
+  createUpstreamList,
+  type BalanceState,
+  type Gate,
+  type HeaderNames,
+  type ListedUpstream,
+  type Random,
+  type ResendBudget,
+  type RouteTable,
+  type SidecarSettings,
+  type SplitState,
+  type Suspects,
+  type UpstreamList,
+  findByAddress,
+} from '../internal.js';
+import type {DecisionLog} from './decision_log.js';
+import {createMetrics, type Metrics} from '../daemon/metrics.js';
+
+/** All state of one sidecar; its parts read and write it. */
+export interface SidecarBoard {
+  settings: SidecarSettings;
+  readonly names: HeaderNames;
+  /** Configuration in force; undefined until one is known. */
+  table?: RouteTable;
+  readonly list: UpstreamList;
+  readonly balance: BalanceState;
+  readonly resends: ResendBudget;
+  readonly splits: SplitState;
+  readonly suspects: Suspects;
+  readonly gate: Gate;
+  /** True once the process has been asked to stop. */
+  stopping: boolean;
+  readonly log: DecisionLog;
+  readonly counters: Map<string, number>;
+  readonly metrics: Metrics;
+  readonly random: Random;
+  /** Monotonic clock, ms. */
+  readonly now: () => number;
+}
+
+/** What a board is made from. */
+export interface BoardDeps {
+  readonly settings: SidecarSettings;
+  readonly names: HeaderNames;
+  readonly log: DecisionLog;
+  readonly random: Random;
+  readonly now: () => number;
+}
+
+/** Creates the state of a sidecar that knows nothing yet. */
+export function createSidecarBoard(deps: BoardDeps): SidecarBoard {
+  return {
+    ...deps,
+    list: createUpstreamList(),
+    balance: new Map(),
+    resends: createResendBudget(deps.settings.resends),
+    splits: new Map(),
+    suspects: createSuspects(),
+    gate: createGate(deps.now()),
+    stopping: false,
+    counters: new Map(),
+    metrics: createMetrics(),
+  };
+}
+
+/** True when the daemon can serve requests. */
+export function isSidecarReady(board: SidecarBoard): boolean {
+  return !board.stopping && board.table !== undefined && board.list.complete;
+}
+
+/** Entry of the upstream beside the daemon, as far as it is listed. */
+export function findOwnUpstream(
+  board: SidecarBoard,
+): ListedUpstream | undefined {
+  const {host, port} = board.settings.upstream;
+  return findByAddress(board.list, host, port);
+}
--- /dev/null
+++ b/src/sidecar/decision_log.ts
@@ -0,0 +1,138 @@
+import {write} from 'node:fs';
+import bunyan from 'bunyan';
+
+/** Lines per second for requests that ended well; further ones are counted. */
+export const ROUTINE_LINES_PER_S = 40;
+
+/** Lines per second for failures and changes of state. */
+export const NOTABLE_LINES_PER_S = 200;
+
+/** Bytes that wait to be written; lines beyond it are counted and dropped. */
+export const MAX_PENDING_BYTES = 262_144;
+
+/** Interval of the writes, ms; one write takes all lines since the last one. */
+const FLUSH_MS = 100;
+
+/** Weight of a line: routine lines are the first to be left out. */
+export type LineWeight = 'routine' | 'notable' | 'always';
+
+/** Fields of a line. */
+export type LineFields = Record<string, string | number | boolean | undefined>;
+
+/** Log of decisions; writing never blocks the process. */
+export interface DecisionLog {
+  /** Writes one line, or counts it when too many have been written. */
+  write(weight: LineWeight, decision: string, fields: LineFields): void;
+  /** Lines left out so far. */
+  countDropped(): number;
+  /** Resolves when all pending lines have been handed over. */
+  close(): Promise<void>;
+}
+
+/** Hands text to the output; calls back when it can take more. */
+export type WriteOut = (text: string, done: () => void) => void;
+
+/** Writes to standard output through the thread pool: a reader that stops
+ * reading blocks a thread of the pool and never the event loop. */
+export const writeStdout: WriteOut = (text, done) => {
+  const bytes = Buffer.from(text);
+  const step = (from: number): void => {
+    write(1, bytes, from, bytes.length - from, null, (err, written) => {
+      // A closed standard output ends logging; requests go on.
+      if (err && (err as NodeJS.ErrnoException).code !== 'EAGAIN') return;
+      const next = from + (written ?? 0);
+      if (next >= bytes.length) done();
+      else step(next);
+    });
+  };
+  step(0);
+};
+
+/** Settings of a decision log. */
+export interface DecisionLogOptions {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly now: () => number;
+  readonly out?: WriteOut;
+}
+
+/** Creates the log of one process. */
+export function createDecisionLog(options: DecisionLogOptions): DecisionLog {
+  const {now, out = writeStdout} = options;
+  let pending: string[] = [];
+  let pendingBytes = 0;
+  let writing = false;
+  let dropped = 0;
+  let reported = 0;
+  let onIdle: (() => void) | undefined;
+  let timer: NodeJS.Timeout | undefined;
+
+  const flush = (): void => {
+    timer = undefined;
+    if (writing) return;
+    if (pending.length === 0) {
+      onIdle?.();
+      return;
+    }
+    const text = pending.join('');
+    pending = [];
+    pendingBytes = 0;
+    writing = true;
+    out(text, () => {
+      writing = false;
+      if (onIdle || pending.length > 0) schedule();
+    });
+  };
+  const schedule = (): void => {
+    timer ??= setTimeout(flush, onIdle ? 0 : FLUSH_MS);
+  };
+  const stream = {
+    write(line: string): void {
+      if (pendingBytes + line.length > MAX_PENDING_BYTES) {
+        dropped++;
+        return;
+      }
+      pending.push(line);
+      pendingBytes += line.length;
+      schedule();
+    },
+  };
+  const logger = bunyan.createLogger({
+    name: 'berylbend',
+    id: options.id,
+    dataCentre: options.dataCentre,
+    streams: [{level: 'info', stream: stream as NodeJS.WritableStream}],
+  });
+
+  let secondAt = -Infinity;
+  const left = {routine: 0, notable: 0};
+  const startSecond = (at: number): void => {
+    if (at - secondAt < 1_000) return;
+    secondAt = at;
+    left.routine = ROUTINE_LINES_PER_S;
+    left.notable = NOTABLE_LINES_PER_S;
+    if (dropped === reported) return;
+    logger.warn({decision: 'linesDropped', lines: dropped - reported});
+    reported = dropped;
+  };
+  return {
+    write(weight, decision, fields) {
+      startSecond(now());
+      if (weight !== 'always' && left[weight]-- <= 0) {
+        dropped++;
+        return;
+      }
+      const level = weight === 'notable' ? 'warn' : 'info';
+      logger[level]({decision, ...fields});
+    },
+    countDropped: () => dropped,
+    close() {
+      return new Promise(resolve => {
+        onIdle = resolve;
+        clearTimeout(timer);
+        timer = undefined;
+        flush();
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/sidecar/hop.ts
@@ -0,0 +1,164 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  formatReason,
+  formatReport,
+  HEADERS,
+  OUTCOMES,
+  parseReason,
+  parseReport,
+  VERDICT_HEADER_VALUES,
+  type ListedUpstream,
+  type Outcome,
+} from '../internal.js';
+import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
+import {copyAnswerHeaders, copyRawHeaders, readOne} from './header_copy.js';
+import type {HttpClient, HttpResult} from './http_client.js';
+
+/** Verdict value of a request that the upstream itself has turned away. */
+const TURNED_AWAY = 'turned-away';
+
+/** Terms of a forwarded request in one header: it crosses data centres. */
+function formatTerms(request: ForwardRequest): string {
+  const {upstreamId, route, rank, goalMs, limitMs, fingerprint} = request;
+  const numbers = [rank, Math.round(goalMs), Math.round(limitMs)];
+  return [upstreamId, route, ...numbers, fingerprint]
+    .map(item => encodeURIComponent(item))
+    .join(',');
+}
+
+/** Reads a forwarded request; undefined when its terms are malformed. */
+export function readForward(
+  req: IncomingMessage,
+  requestIdHeader: string,
+  body: Buffer | undefined,
+): ForwardRequest | undefined {
+  const terms = readOne(req.headers, HEADERS.terms)?.split(',');
+  if (!terms || terms.length !== 6) return undefined;
+  let texts: string[];
+  try {
+    texts = terms.map(decodeURIComponent);
+  } catch {
+    return undefined;
+  }
+  const [upstreamId, route, rank, goalMs, limitMs, fingerprint] = texts;
+  const numbers = [rank, goalMs, limitMs].map(Number);
+  if (upstreamId === '' || !numbers.every(Number.isFinite)) return undefined;
+  return {
+    requestId: readOne(req.headers, requestIdHeader) ?? '',
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    headers: copyRawHeaders(req.rawHeaders, req.headers.connection, []),
+    body,
+    upstreamId,
+    route,
+    rank: numbers[0],
+    goalMs: numbers[1],
+    limitMs: numbers[2],
+    fingerprint,
+  };
+}
+
+/** Writes the end of an attempt to the entry. */
+export function writeReply(
+  res: ServerResponse,
+  reply: ForwardReply,
+  isHead: boolean,
+): void {
+  const load: Record<string, string> = reply.report
+    ? {[HEADERS.load]: formatReport(reply.report)}
+    : {};
+  switch (reply.kind) {
+    case 'answer': {
+      const {status, headers, body} = reply.answer;
+      const copy = copyAnswerHeaders(headers);
+      if (isHead && headers['content-length'] !== undefined) {
+        copy['content-length'] = headers['content-length'];
+      } else if (status !== 204 && status !== 304) {
+        copy['content-length'] = String(body.length);
+      }
+      res.writeHead(status, {...copy, ...load});
+      res.end(body);
+      return;
+    }
+    case 'refused':
+      res.writeHead(503, {
+        ...load,
+        [HEADERS.verdict]: reply.arrived
+          ? TURNED_AWAY
+          : VERDICT_HEADER_VALUES.notRun,
+        [HEADERS.reason]: formatReason(reply.outcome),
+        [HEADERS.retryMs]: String(Math.ceil(reply.retryAfterMs)),
+        'content-length': 0,
+      });
+      res.end();
+      return;
+    case 'broken':
+      res.writeHead(502, {
+        ...load,
+        [HEADERS.verdict]: VERDICT_HEADER_VALUES.mayHaveRun,
+        [HEADERS.reason]: formatReason(reply.outcome),
+        'content-length': 0,
+      });
+      res.end();
+      return;
+    default:
+      // The entry has gone, or nothing is known: only a broken connection
+      // promises nothing.
+      res.destroy();
+  }
+}
+
+/** Sends a request to the daemon beside an upstream. */
+export function sendForward(
+  client: HttpClient,
+  upstream: ListedUpstream,
+  peerPort: number,
+  request: ForwardRequest,
+  now: number,
+): ForwardCall {
+  const {method, target, body} = request;
+  const headers = [...request.headers, HEADERS.terms, formatTerms(request)];
+  const call = client.send(
+    `http://${upstream.host}:${peerPort}`,
+    {method, path: target, headers, body},
+    now,
+  );
+  return {result: call.result.then(readReply), abort: () => call.abort()};
+}
+
+function readReply(result: HttpResult): ForwardReply {
+  if (result.kind === 'broken') {
+    return {kind: 'broken', outcome: 'connectionBroken', code: result.code};
+  }
+  if (result.kind !== 'answer') return result;
+  const {answer} = result;
+  const {headers} = answer;
+  const report = parseReport(readOne(headers, HEADERS.load));
+  const verdict = readOne(headers, HEADERS.verdict);
+  if (verdict === undefined) {
+    // Every reply of an owner carries its load; anything else is no reply.
+    if (report) return {kind: 'answer', answer, report};
+    return {kind: 'broken', outcome: 'crossedAnswer', code: 'NO_REPORT'};
+  }
+  const reason = parseReason(readOne(headers, HEADERS.reason) ?? '');
+  if (verdict === VERDICT_HEADER_VALUES.notRun || verdict === TURNED_AWAY) {
+    return {
+      kind: 'refused',
+      outcome: pickOutcome(reason, 'notRun', 'full'),
+      arrived: verdict === TURNED_AWAY,
+      retryAfterMs: Number(readOne(headers, HEADERS.retryMs)) || 0,
+      report,
+    };
+  }
+  const outcome = pickOutcome(reason, 'mayHaveRun', 'connectionBroken');
+  return {kind: 'broken', outcome, code: 'OWNER', report};
+}
+
+/** A reason that contradicts the verdict does not count. */
+function pickOutcome(
+  reason: Outcome | undefined,
+  verdict: 'notRun' | 'mayHaveRun',
+  otherwise: Outcome,
+): Outcome {
+  return reason && OUTCOMES[reason].verdict === verdict ? reason : otherwise;
+}
--- /dev/null
+++ b/src/sidecar/http_client.ts
@@ -0,0 +1,186 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {Pool, type Dispatcher} from 'undici';
+
+/** Largest answer that is held in memory, bytes; longer ones are refused. */
+export const MAX_ANSWER_BYTES = 33_554_432;
+
+/** Time without requests after which a pool of connections is closed, ms. */
+const POOL_IDLE_MS = 30_000;
+
+/** Request of a daemon to another daemon or to its upstream. */
+export interface HttpRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** Whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/**
+ * End of an exchange. `unsent`: no byte was written; `broken`: the request was
+ * written and no whole answer came; `aborted`: ended by this daemon.
+ */
+export type HttpResult =
+  | {kind: 'answer'; answer: HttpAnswer}
+  | {kind: 'unsent'; code: string}
+  | {kind: 'broken'; code: string}
+  | {kind: 'aborted'; written: boolean};
+
+/** An exchange in progress. */
+export interface HttpCall {
+  readonly result: Promise<HttpResult>;
+  /** Ends the exchange and closes its connection. */
+  abort(): void;
+}
+
+/** Settings of a client. */
+export interface HttpClientOptions {
+  /** Connections to one origin, at most. */
+  readonly connections: number;
+  readonly connectTimeoutMs: number;
+  /** Time after which an idle connection is closed, ms. */
+  readonly keepAliveMs: number;
+}
+
+/** Client with pools of connections; it sends each request at most once. */
+export interface HttpClient {
+  send(origin: string, request: HttpRequest, now: number): HttpCall;
+  close(): Promise<void>;
+}
+
+/** Creates a client without connections. */
+export function createHttpClient(options: HttpClientOptions): HttpClient {
+  const pools = new Map<string, {pool: Pool; usedAt: number}>();
+  const sweep = (now: number) => {
+    for (const [origin, {pool, usedAt}] of pools) {
+      if (now - usedAt <= POOL_IDLE_MS) continue;
+      pools.delete(origin);
+      void pool.close();
+    }
+  };
+  const findPool = (origin: string, now: number): Pool => {
+    const found = pools.get(origin);
+    if (found) {
+      found.usedAt = now;
+      return found.pool;
+    }
+    sweep(now);
+    const pool = new Pool(origin, {
+      connections: options.connections,
+      pipelining: 1,
+      keepAliveTimeout: options.keepAliveMs,
+      keepAliveMaxTimeout: options.keepAliveMs,
+      connect: {timeout: options.connectTimeoutMs},
+      // The deadline of each request limits it instead.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    pools.set(origin, {pool, usedAt: now});
+    return pool;
+  };
+  return {
+    send(origin, request, now) {
+      const call = new Call();
+      const {method, path, headers, body} = request;
+      findPool(origin, now).dispatch(
+        {
+          method: method as Dispatcher.HttpMethod,
+          path,
+          headers,
+          body,
+          idempotent: false,
+        },
+        call,
+      );
+      return call;
+    },
+    async close() {
+      const all = [...pools.values()];
+      pools.clear();
+      await Promise.all(all.map(({pool}) => pool.destroy()));
+    },
+  };
+}
+
+const CANCELLED = new Error('request was cancelled');
+
+/** Raised when a request would be written to a second connection. */
+const WRITTEN_TWICE = new Error('request was already written once');
+
+class Call implements HttpCall, Dispatcher.DispatchHandler {
+  readonly result: Promise<HttpResult>;
+  #settle!: (result: HttpResult) => void;
+  #written = false;
+  #done = false;
+  #controller?: Dispatcher.DispatchController;
+  #status = 0;
+  #headers: IncomingHttpHeaders = {};
+  #chunks: Buffer[] = [];
+  #size = 0;
+
+  constructor() {
+    this.result = new Promise(resolve => (this.#settle = resolve));
+  }
+
+  #end(result: HttpResult): void {
+    if (this.#done) return;
+    this.#done = true;
+    this.#settle(result);
+  }
+
+  abort(): void {
+    this.#end({kind: 'aborted', written: this.#written});
+    this.#controller?.abort(CANCELLED);
+  }
+
+  /** Called just before the first byte is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#done) return controller.abort(CANCELLED);
+    if (this.#written) return controller.abort(WRITTEN_TWICE);
+    this.#written = true;
+    this.#controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    this.#status = status;
+    this.#headers = headers;
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#size += chunk.length;
+    if (this.#size > MAX_ANSWER_BYTES) {
+      this.#end({kind: 'broken', code: 'ANSWER_TOO_LARGE'});
+      controller.abort(CANCELLED);
+      return;
+    }
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const [first] = this.#chunks;
+    const single = this.#chunks.length === 1;
+    const body = single ? first : Buffer.concat(this.#chunks, this.#size);
+    const answer = {status: this.#status, headers: this.#headers, body};
+    this.#end({kind: 'answer', answer});
+  }
+
+  onResponseError(_controller: unknown, err: NodeJS.ErrnoException): void {
+    const code = err.code ?? err.name;
+    this.#end({kind: this.#written ? 'broken' : 'unsent', code});
+  }
+}
--- /dev/null
+++ b/src/sidecar/owner.ts
@@ -0,0 +1,486 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {
+  admit,
+  count,
+  findByAddress,
+  flushWaiting,
+  isGateCold,
+  noteFinished,
+  pump,
+  release,
+  setCold,
+  setColdRate,
+  withdraw,
+  type GateResult,
+  type GateWork,
+  type LoadReport,
+  type Outcome,
+} from '../internal.js';
+import {recordLatency} from '../daemon/metrics.js';
+import {findOwnUpstream, type SidecarBoard} from './board.js';
+import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
+import {readOne} from './header_copy.js';
+import {
+  createHttpClient,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpClient,
+  type HttpResult,
+} from './http_client.js';
+
+/** Longest wait for a connection to the upstream on the same instance, ms. */
+const CONNECT_MS = 500;
+
+/**
+ * Time after which an idle connection to the upstream is closed, ms. Upstreams
+ * close theirs after some seconds, and what is sent at that moment is lost.
+ */
+const KEEP_ALIVE_MS = 3_000;
+
+/** Time for the answer of a health check, ms. */
+const HEALTH_MS = 1_500;
+
+/** Pause between health checks while the upstream does not answer, ms. */
+const HEALTH_RETRY_MS = 300;
+
+/** Time that the entry needs to pass on a refusal before its deadline, ms. */
+const REFUSAL_MARGIN_MS = 15;
+
+/** Health checks in a row without the answer of an upstream that is taken as
+ * merely busy; after them requests are let through at the cold rate. */
+const MAX_CHECKS = 40;
+
+/** Access to the upstream beside the daemon. */
+export interface Owner {
+  /** Admits a request and sends it to the upstream at most once. */
+  submit(request: ForwardRequest): ForwardCall;
+  readReport(): LoadReport;
+  /** Takes in changes of the configuration and of the list. */
+  sync(): void;
+  /** Requests that wait or run. */
+  countActive(): number;
+  stop(): Promise<void>;
+}
+
+interface OwnerState {
+  readonly board: SidecarBoard;
+  readonly client: HttpClient;
+  readonly reportCrash: (fingerprints: string[]) => void;
+  readonly running: Set<ForwardRequest>;
+  active: number;
+  checking: boolean;
+  stopped: boolean;
+  /** Incarnation whose health is known. */
+  bornAt: number;
+  /** True while the data centre is taken out. */
+  out: boolean;
+  /** True once the health of the upstream has been asked for. */
+  asked: boolean;
+  pumpTimer?: NodeJS.Timeout;
+}
+
+/** Creates the owner of the upstream beside the daemon. */
+export function createSidecarOwner(
+  board: SidecarBoard,
+  reportCrash: (fingerprints: string[]) => void,
+): Owner {
+  const state: OwnerState = {
+    board,
+    client: createHttpClient({
+      connections: 100,
+      connectTimeoutMs: CONNECT_MS,
+      keepAliveMs: KEEP_ALIVE_MS,
+    }),
+    reportCrash,
+    running: new Set(),
+    active: 0,
+    checking: false,
+    stopped: false,
+    bornAt: 0,
+    out: false,
+    asked: false,
+  };
+  return {
+    submit: request => submitForward(state, request),
+    readReport: () => readReport(board),
+    sync: () => syncOwner(state),
+    countActive: () => state.active,
+    async stop() {
+      state.stopped = true;
+      clearTimeout(state.pumpTimer);
+      await state.client.close();
+    },
+  };
+}
+
+function readReport(board: SidecarBoard): LoadReport {
+  const {gate} = board;
+  const own = findOwnUpstream(board);
+  return {
+    inFlight: gate.inFlight,
+    queued: gate.waiting.length,
+    slots: gate.slots,
+    meanMs: gate.meanMs,
+    failShare: gate.failShare,
+    cold: isGateCold(gate, board.now()) || gate.down,
+    leaving: board.stopping || own?.state === 'leaving',
+  };
+}
+
+function syncOwner(state: OwnerState): void {
+  const {board} = state;
+  const {gate, settings, table, list} = board;
+  const own = findOwnUpstream(board);
+  const service = table?.services.get(own?.service ?? settings.service);
+  if (service) setColdRate(gate, service.coldPerS);
+  if (own) gate.slots = own.slots;
+  if (service && !state.asked) {
+    // Nobody else knows what the upstream got before this process started.
+    state.asked = true;
+    startHealthCheck(state, 'start');
+  }
+  const now = board.now();
+  if (own && own.bornAt !== state.bornAt) {
+    const first = state.bornAt === 0;
+    state.bornAt = own.bornAt;
+    if (!first) noteRestart(state);
+  }
+  if (own && own.coldUntil > now && !isGateCold(gate, now)) {
+    setCold(gate, own.coldUntil - now, now);
+  }
+  const out = list.takenOut.has(settings.dataCentre);
+  if (state.out && !out) {
+    // Upstreams of a data centre that comes back may have turned cold.
+    noteRestart(state);
+  }
+  state.out = out;
+  schedulePump(state);
+}
+
+function noteRestart(state: OwnerState): void {
+  const {board} = state;
+  setCold(board.gate, Infinity, board.now());
+  startHealthCheck(state, 'restart');
+}
+
+/** Reasons not to take a request at all. */
+function judgeArrival(
+  {board}: OwnerState,
+  request: ForwardRequest,
+): Outcome | undefined {
+  const {list, settings} = board;
+  if (list.takenOut.has(settings.dataCentre)) return 'dataCentreOut';
+  const {host, port} = settings.upstream;
+  const own = findByAddress(list, host, port);
+  if (own && own.id !== request.upstreamId) return 'wrongOwner';
+  if (own?.state === 'leaving') return 'leaving';
+  if (!own && list.complete) return 'leaving';
+  return undefined;
+}
+
+function submitForward(
+  state: OwnerState,
+  request: ForwardRequest,
+): ForwardCall {
+  const {board} = state;
+  const arrivedAt = board.now();
+  const limitAt = arrivedAt + request.limitMs;
+  let settle!: (reply: ForwardReply) => void;
+  const result = new Promise<ForwardReply>(resolve => (settle = resolve));
+  let timer: NodeJS.Timeout | undefined;
+  let call: HttpCall | undefined;
+  let over = false;
+  const end = (reply: ForwardReply): void => {
+    if (over) return;
+    over = true;
+    clearTimeout(timer);
+    state.active--;
+    settle({...reply, report: readReport(board)});
+  };
+  const refuse = (outcome: Outcome, retryAfterMs: number, arrived = false) => {
+    count(board, `owner_refused_${outcome}`);
+    logRefusal(board, request, outcome, arrived);
+    end({kind: 'refused', outcome, arrived, retryAfterMs});
+  };
+  const work: GateWork = {
+    kind: request.route,
+    rank: request.rank,
+    goalAt: arrivedAt + request.goalMs,
+    limitAt,
+    start: () => {
+      clearTimeout(timer);
+      // What the list says may have changed while the request waited.
+      const outcome = judgeArrival(state, request);
+      if (outcome) {
+        release(board.gate, request.route, 0, 'cancelled', board.now());
+        refuse(outcome, 0);
+        return;
+      }
+      const startedAt = board.now();
+      call = startCall(state, request, limitAt);
+      state.running.add(request);
+      void call.result.then(outcome => {
+        state.running.delete(request);
+        concludeCall(state, request, outcome, startedAt, refuse, end);
+        schedulePump(state);
+      });
+    },
+    refuse,
+  };
+  state.active++;
+  const outcome = judgeArrival(state, request);
+  if (outcome) refuse(outcome, 0);
+  else admit(board.gate, work, arrivedAt);
+  if (!over && !call) {
+    const waitMs = Math.max(1, request.limitMs - REFUSAL_MARGIN_MS);
+    timer = setTimeout(() => {
+      if (withdraw(board.gate, work)) refuse('deadlineTooShort', 0);
+    }, waitMs);
+    schedulePump(state);
+  }
+  return {
+    result,
+    abort: () => {
+      if (over) return;
+      if (call) call.abort();
+      else {
+        withdraw(board.gate, work);
+        end({kind: 'aborted', written: false});
+      }
+    },
+  };
+}
+
+function startCall(
+  state: OwnerState,
+  request: ForwardRequest,
+  limitAt: number,
+): HttpCall {
+  const {board, client} = state;
+  const {names, settings} = board;
+  const now = board.now();
+  const leftMs = Math.max(1, Math.floor(limitAt - now));
+  const headers = [
+    ...request.headers,
+    ...[names.deadlineMs, String(leftMs)],
+    ...[names.expectedUpstream, request.upstreamId],
+  ];
+  const {method, target, body} = request;
+  const {host, port} = settings.upstream;
+  const origin = `http://${host}:${port}`;
+  return client.send(origin, {method, path: target, headers, body}, now);
+}
+
+type Refuse = (
+  outcome: Outcome,
+  retryAfterMs: number,
+  arrived?: boolean,
+) => void;
+
+function concludeCall(
+  state: OwnerState,
+  request: ForwardRequest,
+  result: HttpResult,
+  startedAt: number,
+  refuse: Refuse,
+  end: (reply: ForwardReply) => void,
+): void {
+  const {board} = state;
+  const now = board.now();
+  const heldMs = now - startedAt;
+  const finish = (outcome: GateResult) =>
+    release(board.gate, request.route, heldMs, outcome, now);
+  if (result.kind === 'aborted') {
+    finish('cancelled');
+    end({kind: 'aborted', written: result.written});
+    return;
+  }
+  if (result.kind === 'unsent') {
+    finish('failed');
+    noteBreak(state, request, result.code, false);
+    refuse('upstreamDown', 0);
+    return;
+  }
+  if (result.kind === 'broken') {
+    finish('failed');
+    noteBreak(state, request, result.code, true);
+    end({kind: 'broken', outcome: 'connectionBroken', code: result.code});
+    return;
+  }
+  const {answer} = result;
+  const judged = judgeAnswer(board, request, answer);
+  if (judged === 'notRun') {
+    finish('failed');
+    refuse(answer.status === 421 ? 'wrongOwner' : 'shed', 0, true);
+    return;
+  }
+  if (judged === 'crossed') {
+    finish('failed');
+    count(board, 'owner_bad_answers');
+    end({kind: 'broken', outcome: 'crossedAnswer', code: 'BAD_ANSWER'});
+    return;
+  }
+  finish(answer.status >= 500 ? 'failed' : 'answered');
+  recordLatency(board.metrics, 'upstream', heldMs);
+  noteFinished(board.suspects, request.fingerprint, now);
+  end({kind: 'answer', answer});
+}
+
+/** Says whether an answer is the upstream's own answer to this request. */
+function judgeAnswer(
+  {names}: SidecarBoard,
+  request: ForwardRequest,
+  {status, headers}: HttpAnswer,
+): 'own' | 'notRun' | 'crossed' {
+  const id = readOne(headers, names.requestId);
+  // An answer with another id was sent late for an earlier request.
+  if (id !== undefined && id !== request.requestId) return 'crossed';
+  if (headers[names.notRun] !== undefined || status === 421) return 'notRun';
+  if (headers['content-encoding'] !== undefined) return 'crossed';
+  const signed = headers[names.signature] !== undefined;
+  if (status < 400 && (!signed || id === undefined)) return 'crossed';
+  return 'own';
+}
+
+function logRefusal(
+  board: SidecarBoard,
+  request: ForwardRequest,
+  outcome: Outcome,
+  arrived: boolean,
+): void {
+  const {gate} = board;
+  board.log.write('notable', 'ownerRefused', {
+    request: request.requestId,
+    outcome,
+    arrived,
+    upstream: request.upstreamId,
+    inFlight: gate.inFlight,
+    queued: gate.waiting.length,
+    slots: gate.slots,
+    meanMs: Math.round(gate.meanMs),
+    cold: isGateCold(gate, board.now()),
+    limitMs: Math.round(request.limitMs),
+    goalMs: Math.round(request.goalMs),
+  });
+}
+
+/** Takes a broken exchange as a sign that the upstream may have restarted. */
+function noteBreak(
+  state: OwnerState,
+  request: ForwardRequest,
+  code: string,
+  written: boolean,
+): void {
+  const {board} = state;
+  count(board, 'owner_broken');
+  board.log.write('notable', 'upstreamBroke', {
+    request: request.requestId,
+    upstream: request.upstreamId,
+    code,
+    written,
+    inFlight: board.gate.inFlight,
+  });
+  const suspects = [...state.running].map(item => item.fingerprint);
+  if (written) suspects.push(request.fingerprint);
+  if (!isGateCold(board.gate, board.now())) {
+    setCold(board.gate, Infinity, board.now());
+  }
+  startHealthCheck(state, code, suspects);
+}
+
+/**
+ * Asks the upstream for its health until it answers, and learns how long it
+ * stays cold. Its word on being healthy is not used: requests show that.
+ */
+function startHealthCheck(
+  state: OwnerState,
+  cause: string,
+  suspects: string[] = [],
+): void {
+  if (state.checking || state.stopped) return;
+  state.checking = true;
+  state.board.log.write('notable', 'healthCheck', {cause});
+  void checkHealth(state, suspects).finally(() => {
+    state.checking = false;
+    schedulePump(state);
+  });
+}
+
+async function checkHealth(
+  state: OwnerState,
+  suspects: string[],
+): Promise<void> {
+  const {board} = state;
+  let crashed = suspects;
+  for (let checks = 0; checks < MAX_CHECKS && !state.stopped; checks++) {
+    const headers = await askHealth(state);
+    if (headers) {
+      noteHealth(state, headers);
+      return;
+    }
+    if (!board.gate.down) {
+      board.gate.down = true;
+      board.log.write('always', 'upstreamDown', {});
+      flushWaiting(board.gate, 'upstreamDown');
+      if (crashed.length > 0) state.reportCrash([...new Set(crashed)]);
+      crashed = [];
+    }
+    await new Promise(resolve => setTimeout(resolve, HEALTH_RETRY_MS));
+  }
+  board.gate.down = false;
+}
+
+/** Headers of the health answer; undefined without an answer. */
+async function askHealth(
+  state: OwnerState,
+): Promise<IncomingHttpHeaders | undefined> {
+  const {board, client} = state;
+  const {settings, table} = board;
+  const {host, port} = settings.upstream;
+  const own = findOwnUpstream(board);
+  const service = table?.services.get(own?.service ?? settings.service);
+  // The path is part of the configuration; without one there is no traffic.
+  if (!service) return undefined;
+  count(board, 'health_checks');
+  const request = {
+    method: 'GET',
+    path: service.healthPath,
+    headers: [],
+    body: undefined,
+  };
+  const call = client.send(`http://${host}:${port}`, request, board.now());
+  const timer = setTimeout(() => call.abort(), HEALTH_MS);
+  const result = await call.result;
+  clearTimeout(timer);
+  return result.kind === 'answer' ? result.answer.headers : undefined;
+}
+
+function noteHealth(state: OwnerState, headers: IncomingHttpHeaders): void {
+  const {board} = state;
+  const now = board.now();
+  const coldMs = Number(readOne(headers, board.names.coldMs) ?? 0);
+  const own = findOwnUpstream(board);
+  const listedMs = own ? own.coldUntil - now : 0;
+  const forMs = Math.max(Number.isFinite(coldMs) ? coldMs : 0, listedMs, 0);
+  setCold(board.gate, forMs, now);
+  const wasDown = board.gate.down;
+  board.gate.down = false;
+  board.log.write('always', 'upstreamUp', {
+    coldMs: Math.round(forMs),
+    wasDown,
+    upstream: readOne(headers, board.names.upstreamId),
+  });
+}
+
+function schedulePump(state: OwnerState): void {
+  const {board} = state;
+  const waitMs = pump(board.gate, board.now());
+  if (waitMs === undefined || state.pumpTimer) return;
+  state.pumpTimer = setTimeout(
+    () => {
+      state.pumpTimer = undefined;
+      schedulePump(state);
+    },
+    Math.max(1, Math.ceil(waitMs)),
+  );
+}
--- /dev/null
+++ b/src/sidecar/sidecar.ts
@@ -0,0 +1,326 @@
+import {randomInt} from 'node:crypto';
+import {createServer, type Server} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {setTimeout as delay} from 'node:timers/promises';
+import polka from 'polka';
+import {
+  count,
+  createRandom,
+  createRouteTable,
+  expireUpstreams,
+  isGateCold,
+  noteListFault,
+  pruneSplits,
+  pruneTargets,
+  putUpstream,
+  removeUpstream,
+  type CrashReport,
+  type HeaderNames,
+  type MeshConfig,
+  type SidecarSettings,
+  type StoreNews,
+} from '../internal.js';
+import {renderMetrics} from '../daemon/metrics.js';
+import {
+  createSidecarBoard,
+  findOwnUpstream,
+  isSidecarReady,
+  type SidecarBoard,
+} from './board.js';
+import {createDecisionLog, type DecisionLog} from './decision_log.js';
+import {createSidecarEntry} from './entry.js';
+import {createHttpClient} from './http_client.js';
+import {CRASH_PATH, createInbound, takeCrashes} from './inbound.js';
+import {createSidecarOwner} from './owner.js';
+
+/** Largest header block that the HTTP parser accepts, bytes; the limit of the
+ * configuration is checked after it. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** Time after which an idle connection of another daemon is closed, ms. */
+const PEER_IDLE_MS = 30_000;
+
+/** Interval at which connections with late headers are looked for, ms. */
+const HEADER_CHECK_MS = 500;
+
+/** Interval of the checks for entries whose grace has ended, ms. */
+const TICK_MS = 100;
+
+/** Time after SIGTERM for which new requests are taken, ms: two readiness
+ * checks, one second apart, must fail before customers go elsewhere. */
+const DRAIN_NOTICE_MS = 2_500;
+
+/** Part of the grace time that running requests get; the rest is for the
+ * process to end by itself. */
+const STOP_SHARE = 0.9;
+
+/** Interval at which a stopping process looks for running requests, ms. */
+const STOP_POLL_MS = 50;
+
+/** Time for a report of a crash to reach another daemon, ms. */
+const CRASH_REPORT_MS = 1_000;
+
+/** A running sidecar. */
+export interface Sidecar {
+  readonly board: SidecarBoard;
+  /** Takes in news of the platform's store. */
+  takeNews(news: readonly StoreNews[]): void;
+  /** Notes that the list of upstreams has been read whole. */
+  noteListComplete(): void;
+  /** Notes that a part of the platform cannot be read, or can be again. */
+  noteSource(name: string, ok: boolean, reason: string): void;
+  /** Takes over changed settings; addresses stay as they were at the start. */
+  reload(settings: SidecarSettings): void;
+  /** Notes that changed settings could not be read; the old ones stay. */
+  noteBadSettings(reason: string): void;
+  /** Stops gracefully; resolves when the process may end. */
+  stop(): Promise<void>;
+}
+
+/** What a sidecar is started with. */
+export interface SidecarDeps {
+  readonly settings: SidecarSettings;
+  readonly names: HeaderNames;
+  /** Path at which the platform asks whether the daemon is ready. */
+  readonly readyPath: string;
+  readonly log?: DecisionLog;
+}
+
+/** Starts a sidecar: opens its ports and waits for news. */
+export async function startSidecar(deps: SidecarDeps): Promise<Sidecar> {
+  const {settings, names} = deps;
+  const now = () => performance.now();
+  const {id, dataCentre} = settings;
+  const log = deps.log ?? createDecisionLog({id, dataCentre, now});
+  const random = createRandom(randomInt(2 ** 32));
+  const board = createSidecarBoard({settings, names, log, random, now});
+  const control = createHttpClient({
+    connections: 1,
+    connectTimeoutMs: CRASH_REPORT_MS,
+    keepAliveMs: CRASH_REPORT_MS,
+  });
+  const owner = createSidecarOwner(board, fingerprints => {
+    const own = findOwnUpstream(board);
+    if (!own) return;
+    const {service, id: upstream} = own;
+    const reports = fingerprints.map(fingerprint => {
+      return {fingerprint, service, upstream, crashes: 1, ageMs: 0};
+    });
+    takeCrashes(board, reports);
+    tellPeers(reports);
+  });
+  const tellPeers = (reports: CrashReport[]): void => {
+    const hosts = new Set([...board.list.byId.values()].map(item => item.host));
+    hosts.delete(settings.host);
+    const body = Buffer.from(JSON.stringify(reports));
+    const request = {method: 'POST', path: CRASH_PATH, headers: [], body};
+    for (const host of hosts) {
+      const origin = `http://${host}:${settings.peerPort}`;
+      const call = control.send(origin, request, now());
+      setTimeout(() => call.abort(), CRASH_REPORT_MS);
+    }
+  };
+  const entry = createSidecarEntry(board, owner);
+  const customerServer = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    connectionsCheckingInterval: HEADER_CHECK_MS,
+    requestTimeout: 0,
+  });
+  customerServer.on('request', entry);
+  customerServer.on('clientError', (err: Error, socket: Duplex) => {
+    count(board, 'entry_bad_http');
+    if (entry.isBusy(socket)) socket.destroy();
+    else answerClientError(err, socket);
+  });
+  const peerServer = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    keepAliveTimeout: PEER_IDLE_MS,
+    requestTimeout: 0,
+  });
+  peerServer.on('request', createInbound(board, owner));
+  const readyServer = createReadyServer(board, deps.readyPath);
+  const metricsServer = createMetricsServer(board);
+
+  const takeConfig = (config: MeshConfig): void => {
+    const version = board.table?.config.version ?? -1;
+    if (config.version <= version) {
+      if (config.version < version) {
+        count(board, 'config_older');
+        log.write('notable', 'configOlder', {version: config.version});
+      }
+      return;
+    }
+    board.table = createRouteTable(config);
+    pruneSplits(board.splits, board.table);
+    customerServer.keepAliveTimeout = config.limits.idleTimeoutMs;
+    customerServer.headersTimeout = config.limits.headerTimeoutMs;
+    log.write('always', 'configInForce', {
+      version: config.version,
+      before: version,
+      routes: config.routes.length,
+    });
+  };
+  const takeNews: Sidecar['takeNews'] = news => {
+    const at = now();
+    for (const item of news) takeOne(item, at);
+    pruneTargets(board.balance, board.list.byId);
+    owner.sync();
+  };
+  const handlers: {
+    [K in StoreNews['kind']]: (
+      item: Extract<StoreNews, {kind: K}>,
+      at: number,
+    ) => void;
+  } = {
+    config: ({config}) => takeConfig(config),
+    upstream: ({upstream}, at) => {
+      if (!putUpstream(board.list, upstream, at)) return;
+      const {id, service, state, dataCentre, coldMs, bornAt} = upstream;
+      log.write('always', 'upstreamListed', {
+        upstream: id,
+        service,
+        state,
+        dataCentre,
+        coldMs,
+        bornAt,
+      });
+    },
+    upstreamGone: ({id: gone}, at) => {
+      if (!removeUpstream(board.list, gone, at)) return;
+      log.write('always', 'upstreamGone', {upstream: gone});
+    },
+    dataCentre: ({name, takenOut}) => {
+      if (board.list.takenOut.has(name) === takenOut) return;
+      if (takenOut) board.list.takenOut.add(name);
+      else board.list.takenOut.delete(name);
+      log.write('always', 'dataCentreChanged', {dataCentre: name, takenOut});
+    },
+    unreadable: ({key, reason}) => {
+      count(board, 'store_unreadable');
+      log.write('notable', 'storeUnreadable', {key, reason});
+    },
+  };
+  const takeOne = (item: StoreNews, at: number): void => {
+    const handler = handlers[item.kind] as (
+      item: StoreNews,
+      at: number,
+    ) => void;
+    handler(item, at);
+  };
+
+  await openPort(customerServer, settings.customerPort, settings.host);
+  await openPort(peerServer, settings.peerPort, settings.host);
+  await openPort(readyServer, settings.readyPort, settings.host);
+  await openPort(metricsServer, settings.metricsPort, settings.host);
+  const ticker = setInterval(() => {
+    for (const upstream of expireUpstreams(board.list, now())) {
+      log.write('always', 'upstreamGone', {upstream, lapsed: true});
+    }
+  }, TICK_MS);
+  log.write('always', 'started', {service: settings.service});
+
+  return {
+    board,
+    takeNews,
+    noteListComplete: () => {
+      board.list.complete = true;
+    },
+    noteSource(name, ok, reason) {
+      noteListFault(board.list, now());
+      count(board, ok ? 'source_recovered' : 'source_faults');
+      log.write('always', ok ? 'sourceRecovered' : 'sourceLost', {
+        source: name,
+        reason,
+      });
+    },
+    reload(next) {
+      board.settings = {...settings, service: next.service};
+      log.write('always', 'reloaded', {service: next.service});
+    },
+    noteBadSettings(reason) {
+      log.write('always', 'reloadFailed', {reason});
+    },
+    async stop() {
+      const stopAt = now() + settings.graceMs * STOP_SHARE;
+      board.stopping = true;
+      log.write('always', 'stopping', {running: entry.countRunning()});
+      await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
+      customerServer.close();
+      customerServer.closeIdleConnections();
+      const isBusy = () => entry.countRunning() + owner.countActive() > 0;
+      while (isBusy() && now() < stopAt) await delay(STOP_POLL_MS);
+      clearInterval(ticker);
+      const running = entry.countRunning();
+      log.write('always', 'stopped', {running});
+      await log.close();
+    },
+  };
+}
+
+function createReadyServer(board: SidecarBoard, path: string): Server {
+  const app = polka();
+  app.get(path, (_req, res) => {
+    res.statusCode = isSidecarReady(board) ? 200 : 503;
+    res.end();
+  });
+  return createServer((req, res) => void app.handler(req as never, res));
+}
+
+function createMetricsServer(board: SidecarBoard): Server {
+  const app = polka();
+  app.get('/metrics', (_req, res) => {
+    renderMetrics(board, board.metrics, readGauges(board)).then(
+      text => res.end(text),
+      (err: Error) => {
+        board.log.write('notable', 'metricsError', {error: err.message});
+        res.statusCode = 500;
+        res.end();
+      },
+    );
+  });
+  return createServer((req, res) => void app.handler(req as never, res));
+}
+
+function readGauges(board: SidecarBoard): Record<string, number> {
+  const {gate, list, table} = board;
+  return {
+    config_version: table?.config.version ?? 0,
+    upstreams_listed: list.byId.size,
+    data_centres_out: list.takenOut.size,
+    upstream_slots: gate.slots,
+    upstream_in_flight: gate.inFlight,
+    upstream_queued: gate.waiting.length,
+    upstream_cold: Number(isGateCold(gate, board.now())),
+    upstream_down: Number(gate.down),
+    log_lines_dropped: board.log.countDropped(),
+    ready: Number(isSidecarReady(board)),
+  };
+}
+
+/** Status lines for input that is not a proper request. */
+const CLIENT_ERRORS: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+function answerClientError(err: Error, socket: Duplex): void {
+  const {code = ''} = err as NodeJS.ErrnoException;
+  if (!socket.writable || code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const status = CLIENT_ERRORS[code] ?? '400 Bad Request';
+  socket.end(
+    `HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`,
+  );
+}
+
+function openPort(server: Server, port: number, host: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, 511, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+}
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -16,6 +16,10 @@
   boot: 'berylbend-boot',
   shed: 'berylbend-shed',
   key: 'idempotency-key',
+  /** Terms of a request between sidecars: upstream, route, rank, times. */
+  terms: 'berylbend-terms',
+  /** Time after which a refused request is worth another try, ms. */
+  retryMs: 'berylbend-retry-ms',
 } as const;
 
 /** Path under which a daemon accepts forwarded requests on its peer port. */
--- /dev/null
+++ b/src/types/mesh.ts
@@ -0,0 +1,139 @@
+import {z} from 'zod';
+
+const NAME = z.string().min(1).max(200);
+
+/** Schema of a route that is selected by host and path. */
+export const meshRouteSchema = z.object({
+  name: NAME,
+  /** Host name in lower case, without a port. */
+  host: NAME,
+  /** Begins and ends with a slash; the longest prefix of a host wins. */
+  pathPrefix: z.string().regex(/^\/(?:.*\/)?$/),
+  /** Services that share the route, in proportion to their weights. */
+  parts: z
+    .array(z.object({service: NAME, weight: z.number().min(0)}))
+    .min(1)
+    .refine(parts => parts.some(part => part.weight > 0)),
+  /** True when a request may run more than once. */
+  repeatable: z.boolean(),
+  /** Longest time that a request is kept waiting, ms. */
+  timeoutMs: z.number().positive(),
+  /** Time within which an answer has its full value, ms. */
+  goalMs: z.number().positive(),
+  /** Upstreams to which one request may be sent, at most. */
+  attempts: z.int().min(1),
+  /** Rank in queues; 0 goes first. */
+  rank: z.number().min(0),
+});
+
+/** Schema of the part of the configuration that describes a service. */
+export const meshServiceSchema = z.object({
+  name: NAME,
+  healthPath: z.string().startsWith('/'),
+  /** Connections that one upstream accepts from all callers together. */
+  maxConnections: z.int().min(1),
+  /** Time for which an upstream stays cold after its start, ms. */
+  coldMs: z.number().min(0),
+  /** Requests per second that a cold upstream bears; 0 when not stated. */
+  coldPerS: z.number().min(0),
+});
+
+/** Schema of the bounds on what a customer may send. */
+export const meshLimitsSchema = z.object({
+  headerBytes: z.int().min(1),
+  bodyBytes: z.int().min(0),
+  headerTimeoutMs: z.number().positive(),
+  idleTimeoutMs: z.number().positive(),
+});
+
+/** Schema of one published configuration. */
+export const meshConfigSchema = z.object({
+  /** Increases with each publication, in uneven steps. */
+  version: z.int().min(0),
+  routes: z.array(meshRouteSchema),
+  services: z.array(meshServiceSchema),
+  limits: meshLimitsSchema,
+});
+
+/** Schema of an upstream as listed by the platform. */
+export const meshUpstreamSchema = z.object({
+  id: NAME,
+  service: NAME,
+  host: z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}$/),
+  port: z.int().min(1).max(65_535),
+  dataCentre: NAME,
+  slots: z.int().min(1),
+  state: z.enum(['live', 'leaving']),
+  /** Remaining time as a cold upstream when the entry was written, ms. */
+  coldMs: z.number().min(0),
+  /** Start of this incarnation, wall ms; 0 when not stated. */
+  bornAt: z.number().min(0),
+});
+
+/** Schema of the settings of a sidecar daemon. */
+export const sidecarSettingsSchema = z.object({
+  id: NAME,
+  dataCentre: NAME,
+  /** Service of the upstream beside the daemon. */
+  service: NAME,
+  host: NAME,
+  /** Port for customers on the same instance and the upstream's own calls. */
+  customerPort: z.int().min(1).max(65_535),
+  /** Port for requests forwarded by other daemons. */
+  peerPort: z.int().min(1).max(65_535),
+  /** Port that answers whether the daemon is ready. */
+  readyPort: z.int().min(1).max(65_535),
+  /** Port of the metrics page. */
+  metricsPort: z.int().min(1).max(65_535),
+  upstream: z.object({host: NAME, port: z.int().min(1).max(65_535)}),
+  memoryMb: z.number().positive(),
+  /** Time between SIGTERM and the forced end, ms. */
+  graceMs: z.number().positive(),
+  /** Bounds on resends of all daemons together, per service and window. */
+  resends: z.object({
+    ratio: z.number().min(0),
+    slack: z.number().min(0),
+    windowMs: z.number().positive(),
+  }),
+});
+
+/** Route of the mesh. */
+export type MeshRoute = z.infer<typeof meshRouteSchema>;
+
+/** Service of the mesh. */
+export type MeshService = z.infer<typeof meshServiceSchema>;
+
+/** Bounds on what a customer may send. */
+export type MeshLimits = z.infer<typeof meshLimitsSchema>;
+
+/** One published configuration. */
+export type MeshConfig = z.infer<typeof meshConfigSchema>;
+
+/** Upstream as listed by the platform. */
+export type MeshUpstream = z.infer<typeof meshUpstreamSchema>;
+
+/** Settings of a sidecar daemon. */
+export type SidecarSettings = z.infer<typeof sidecarSettingsSchema>;
+
+/**
+ * Names of the headers that customers and upstreams use, in lower case; the
+ * adapter of the platform provides them.
+ */
+export interface HeaderNames {
+  /** Id of a request; upstreams echo it. */
+  readonly requestId: string;
+  /** Time that the sender will wait, ms. */
+  readonly deadlineMs: string;
+  /** Signature of an upstream on an answer of its own. */
+  readonly signature: string;
+  /** Id of the only upstream that may run the request. */
+  readonly expectedUpstream: string;
+  /** Present when the upstream has not run the request. */
+  readonly notRun: string;
+  /** Service on the instance where the request began. */
+  readonly caller: string;
+  /** Id of the upstream, in its health answer. */
+  readonly upstreamId: string;
+  /** Remaining time as a cold upstream, in its health answer, ms. */
+  readonly coldMs: string;
+}
