Keep rules through stops, cuts and busy loops on the platform

The owner closes with the entry after the drain notice; daemons that cannot read the store ask peers for newer state; time unread counts against the deadline.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 
 // The rules of the Google TypeScript Style Guide that a linter can check.
 export default tseslint.config(
-  {ignores: ['dist/', 'node_modules/']},
+  {ignores: ['dist/', 'target/', 'node_modules/']},
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/src/core/store_watch.ts
+++ b/src/core/store_watch.ts
@@ -1,16 +1,12 @@
 import type {MeshConfig, MeshUpstream} from '../types/mesh.js';
-
-/** Value of a key in the platform's store. */
-export interface StoreItem {
-  readonly key: string;
-  readonly value: Buffer;
-}
-
-/** One change; without a value the key was deleted. */
-export interface StoreEvent {
-  readonly key: string;
-  readonly value?: Buffer;
-}
+import {
+  applyEvents,
+  applyWhole,
+  type KeyChange,
+  type StoreEvent,
+  type StoreItem,
+  type StoreMirror,
+} from './store_mirror.js';
 
 /** Reads of the platform's store; each rejects with a `StoreFault`. */
 export interface KeyValueStore {
@@ -49,14 +45,9 @@
 /** What a watch of one prefix needs. */
 export interface StoreWatchDeps {
   readonly store: KeyValueStore;
-  readonly prefix: string;
-  /** Reads what a key means; undefined for keys of no interest. */
-  readonly decode: (
-    key: string,
-    value: Buffer | undefined,
-  ) => StoreNews | undefined;
-  /** Takes in the news of one call; `whole` after a read of all keys. */
-  readonly onNews: (news: StoreNews[], whole: boolean) => void;
+  readonly mirror: StoreMirror;
+  /** Takes in the changes of one call, which may be none. */
+  readonly onChanges: (changes: KeyChange[]) => void;
   readonly onFault: (err: Error) => void;
   readonly onRecovered: () => void;
   readonly random: () => number;
@@ -82,15 +73,18 @@
   deps: StoreWatchDeps,
   state: {stopped: boolean},
 ): Promise<void> {
-  const known = new Set<string>();
-  let revision: number | undefined;
+  let whole = true;
   let faulty = false;
   while (!state.stopped) {
     try {
-      const changed: boolean = await step();
+      if (whole) {
+        await readWhole(deps);
+        whole = false;
+      } else {
+        whole = await watchOnce(deps);
+      }
       if (faulty) deps.onRecovered();
       faulty = false;
-      if (changed) await pause(COALESCE_MS);
     } catch (err) {
       if (state.stopped) return;
       if (!faulty) deps.onFault(err as Error);
@@ -99,61 +93,33 @@
       await pause(shortest + deps.random() * (longest - shortest));
     }
   }
+}
 
-  async function step(): Promise<boolean> {
-    if (revision === undefined) {
-      revision = await readWhole(deps, known);
-      return false;
-    }
-    const reply = await deps.store.watch(deps.prefix, revision, WATCH_MS);
-    if (reply === 'compacted') {
-      revision = undefined;
-      return false;
-    }
-    revision = Math.max(revision, reply.revision);
-    if (reply.events.length === 0) return false;
-    deps.onNews(readEvents(deps, known, reply.events), false);
-    return true;
-  }
+/** Waits for changes; returns true when the keys must be read whole. */
+async function watchOnce(deps: StoreWatchDeps): Promise<boolean> {
+  const {store, mirror} = deps;
+  const after = mirror.revision ?? 0;
+  const reply = await store.watch(mirror.prefix, after, WATCH_MS);
+  if (reply === 'compacted') return true;
+  deps.onChanges(applyEvents(mirror, reply.events, reply.revision));
+  if (reply.events.length > 0) await pause(COALESCE_MS);
+  return false;
 }
 
-async function readWhole(
-  deps: StoreWatchDeps,
-  known: Set<string>,
-): Promise<number> {
+async function readWhole(deps: StoreWatchDeps): Promise<void> {
+  const {store, mirror} = deps;
   const items: StoreItem[] = [];
   let revision: number | undefined;
   let after: string | undefined;
   for (;;) {
-    const page = await deps.store.readPage(deps.prefix, after);
+    const page = await store.readPage(mirror.prefix, after);
     // Pages are no snapshot: changes since the first page are read again.
     revision ??= page.revision;
     items.push(...page.items);
     after = page.items.at(-1)?.key;
     if (!page.more || after === undefined) break;
   }
-  const present = new Set(items.map(item => item.key));
-  const vanished = [...known].filter(key => !present.has(key));
-  const events: StoreEvent[] = [...vanished.map(key => ({key})), ...items];
-  deps.onNews(readEvents(deps, known, events), true);
-  return revision;
-}
-
-function readEvents(
-  deps: StoreWatchDeps,
-  known: Set<string>,
-  events: readonly StoreEvent[],
-): StoreNews[] {
-  // Only the newest value of a key counts.
-  const latest = new Map(events.map(event => [event.key, event.value]));
-  const news: StoreNews[] = [];
-  for (const [key, value] of latest) {
-    if (value === undefined) known.delete(key);
-    else known.add(key);
-    const item = deps.decode(key, value);
-    if (item) news.push(item);
-  }
-  return news;
+  deps.onChanges(applyWhole(mirror, items, revision));
 }
 
 function pause(ms: number): Promise<void> {
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -1,5 +1,6 @@
 import {
   createGate,
+  createLoopLag,
   createResendBudget,
   createSuspects,
   createUpstreamList,
@@ -7,11 +8,13 @@
   type Gate,
   type HeaderNames,
   type ListedUpstream,
+  type LoopLag,
   type Random,
   type ResendBudget,
   type RouteTable,
   type SidecarSettings,
   type SplitState,
+  type StoreMirror,
   type Suspects,
   type UpstreamList,
   findByAddress,
@@ -26,6 +29,10 @@
   /** Configuration in force; undefined until one is known. */
   table?: RouteTable;
   readonly list: UpstreamList;
+  /** Copies of the store's keys, one per prefix. */
+  readonly mirrors: StoreMirror[];
+  /** Prefixes that the store does not answer for at present. */
+  readonly lostSources: Set<string>;
   readonly balance: BalanceState;
   readonly resends: ResendBudget;
   readonly splits: SplitState;
@@ -33,6 +40,9 @@
   readonly gate: Gate;
   /** True once the process has been asked to stop. */
   stopping: boolean;
+  /** True once a stopping process takes no new requests. */
+  closed: boolean;
+  readonly lag: LoopLag;
   readonly log: DecisionLog;
   readonly counters: Map<string, number>;
   readonly metrics: Metrics;
@@ -55,12 +65,16 @@
   return {
     ...deps,
     list: createUpstreamList(),
+    mirrors: [],
+    lostSources: new Set(),
     balance: new Map(),
     resends: createResendBudget(deps.settings.resends),
     splits: new Map(),
     suspects: createSuspects(),
     gate: createGate(deps.now()),
     stopping: false,
+    closed: false,
+    lag: createLoopLag(),
     counters: new Map(),
     metrics: createMetrics(),
   };
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -163,7 +163,8 @@
   res: ServerResponse,
 ): Exchange {
   const {board} = state;
-  const startedAt = board.now();
+  // The deadline goes on while a request waits unread.
+  const startedAt = board.now() - board.lag.read();
   const exchange: Exchange = {
     req,
     res,
@@ -209,6 +210,7 @@
   if (!table || !board.list.complete) {
     return finishRefused(state, exchange, 'noConfig');
   }
+  if (board.closed) return finishRefused(state, exchange, 'leaving');
   const bad = checkHead(state, exchange, table);
   if (bad) return finishRefused(state, exchange, bad);
   const {limits} = table.config;
--- a/src/sidecar/hop.ts
+++ b/src/sidecar/hop.ts
@@ -26,11 +26,15 @@
     .join(',');
 }
 
-/** Reads a forwarded request; undefined when its terms are malformed. */
+/**
+ * Reads a forwarded request; undefined when its terms are malformed. `lagMs` is
+ * the time for which it may have waited unread.
+ */
 export function readForward(
   req: IncomingMessage,
   requestIdHeader: string,
   body: Buffer | undefined,
+  lagMs: number,
 ): ForwardRequest | undefined {
   const terms = readOne(req.headers, HEADERS.terms)?.split(',');
   if (!terms || terms.length !== 6) return undefined;
@@ -52,8 +56,8 @@
     upstreamId,
     route,
     rank: numbers[0],
-    goalMs: numbers[1],
-    limitMs: numbers[2],
+    goalMs: numbers[1] - lagMs,
+    limitMs: numbers[2] - lagMs,
     fingerprint,
   };
 }
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import {Pool, type Dispatcher} from 'undici';
+import {buildConnector, Pool, type Dispatcher} from 'undici';
 
 /** Largest answer that is held in memory, bytes; longer ones are refused. */
 export const MAX_ANSWER_BYTES = 33_554_432;
@@ -57,6 +57,8 @@
 
 /** Creates a client without connections. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
+  const faults: SocketFaults = {handling: false};
+  const connect = createConnector(options.connectTimeoutMs, faults);
   const pools = new Map<string, {pool: Pool; usedAt: number}>();
   const sweep = (now: number) => {
     for (const [origin, {pool, usedAt}] of pools) {
@@ -77,7 +79,7 @@
       pipelining: 1,
       keepAliveTimeout: options.keepAliveMs,
       keepAliveMaxTimeout: options.keepAliveMs,
-      connect: {timeout: options.connectTimeoutMs},
+      connect,
       // The deadline of each request limits it instead.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -87,7 +89,7 @@
   };
   return {
     send(origin, request, now) {
-      const call = new Call();
+      const call = new Call(faults);
       const {method, path, headers, body} = request;
       findPool(origin, now).dispatch(
         {
@@ -109,6 +111,32 @@
   };
 }
 
+/** Whether the fault of a socket is being handled at this moment. */
+interface SocketFaults {
+  handling: boolean;
+}
+
+/**
+ * The client takes a reset as the end of an answer without a length. The
+ * listener runs before the client's own, so that the call can tell a reset
+ * from a proper end.
+ */
+function createConnector(
+  timeout: number,
+  faults: SocketFaults,
+): buildConnector.connector {
+  const connect = buildConnector({timeout});
+  return (options, callback) =>
+    connect(options, (...args) => {
+      const [, socket] = args;
+      socket?.on('error', () => {
+        faults.handling = true;
+        queueMicrotask(() => (faults.handling = false));
+      });
+      callback(...args);
+    });
+}
+
 const CANCELLED = new Error('request was cancelled');
 
 /** Raised when a request would be written to a second connection. */
@@ -125,7 +153,7 @@
   #chunks: Buffer[] = [];
   #size = 0;
 
-  constructor() {
+  constructor(private readonly faults: SocketFaults) {
     this.result = new Promise(resolve => (this.#settle = resolve));
   }
 
@@ -172,6 +200,10 @@
   }
 
   onResponseEnd(): void {
+    if (this.faults.handling) {
+      this.#end({kind: 'broken', code: 'RESET_WITHIN_ANSWER'});
+      return;
+    }
     const [first] = this.#chunks;
     const single = this.#chunks.length === 1;
     const body = single ? first : Buffer.concat(this.#chunks, this.#size);
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -5,6 +5,7 @@
 import type {SidecarBoard} from './board.js';
 import {readForward, writeReply} from './hop.js';
 import type {Owner} from './owner.js';
+import {serveState, STATE_PATH} from './peer_sync.js';
 
 /** Path at which a daemon takes reports of crashed upstreams. */
 export const CRASH_PATH = '/.well-known/berylbend/crashes';
@@ -49,9 +50,10 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
+  const lagMs = board.lag.read();
   const body = await readWholeBody(req, Number.MAX_SAFE_INTEGER);
   if (res.destroyed) return;
-  const request = readForward(req, board.names.requestId, body);
+  const request = readForward(req, board.names.requestId, body, lagMs);
   if (!request) {
     count(board, 'inbound_malformed');
     res.destroy();
@@ -79,11 +81,16 @@
   return readBody(req, limitBytes);
 }
 
-async function serveControl(
+/** Answers what daemons ask of each other beside forwarded requests. */
+export async function serveControl(
   board: SidecarBoard,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
+  if (req.method === 'GET' && req.url?.startsWith(STATE_PATH)) {
+    serveState(board, req, res);
+    return;
+  }
   if (req.method !== 'POST' || req.url !== CRASH_PATH) {
     res.writeHead(404).end();
     return;
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -165,6 +165,16 @@
 
 /** Reasons not to take a request at all. */
 function judgeArrival(
+  state: OwnerState,
+  request: ForwardRequest,
+): Outcome | undefined {
+  // What is taken now could not end before the process does.
+  if (state.board.closed) return 'leaving';
+  return judgeList(state, request);
+}
+
+/** Reasons not to run a request that follow from the platform's list. */
+function judgeList(
   {board}: OwnerState,
   request: ForwardRequest,
 ): Outcome | undefined {
@@ -210,7 +220,7 @@
     start: () => {
       clearTimeout(timer);
       // What the list says may have changed while the request waited.
-      const outcome = judgeArrival(state, request);
+      const outcome = judgeList(state, request);
       if (outcome) {
         release(board.gate, request.route, 0, 'cancelled', board.now());
         refuse(outcome, 0);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -9,7 +9,13 @@
   createRouteTable,
   expireUpstreams,
   isGateCold,
+  createMirror,
   noteListFault,
+  startStoreWatch,
+  type KeyChange,
+  type KeyValueStore,
+  type StoreMirror,
+  type StoreWatch,
   pruneSplits,
   pruneTargets,
   putUpstream,
@@ -30,8 +36,14 @@
 import {createDecisionLog, type DecisionLog} from './decision_log.js';
 import {createSidecarEntry} from './entry.js';
 import {createHttpClient} from './http_client.js';
-import {CRASH_PATH, createInbound, takeCrashes} from './inbound.js';
+import {
+  CRASH_PATH,
+  createInbound,
+  serveControl,
+  takeCrashes,
+} from './inbound.js';
 import {createSidecarOwner} from './owner.js';
+import {startPeerSync} from './peer_sync.js';
 
 /** Largest header block that the HTTP parser accepts, bytes; the limit of the
  * configuration is checked after it. */
@@ -63,12 +75,8 @@
 /** A running sidecar. */
 export interface Sidecar {
   readonly board: SidecarBoard;
-  /** Takes in news of the platform's store. */
-  takeNews(news: readonly StoreNews[]): void;
-  /** Notes that the list of upstreams has been read whole. */
-  noteListComplete(): void;
-  /** Notes that a part of the platform cannot be read, or can be again. */
-  noteSource(name: string, ok: boolean, reason: string): void;
+  /** Follows the keys with a prefix in the platform's store. */
+  follow(store: KeyValueStore, prefix: string): StoreWatch;
   /** Takes over changed settings; addresses stay as they were at the start. */
   reload(settings: SidecarSettings): void;
   /** Notes that changed settings could not be read; the old ones stay. */
@@ -83,6 +91,13 @@
   readonly names: HeaderNames;
   /** Path at which the platform asks whether the daemon is ready. */
   readonly readyPath: string;
+  /** Prefix of the keys that list the upstreams. */
+  readonly listPrefix: string;
+  /** Reads what a key of the store means; undefined for other keys. */
+  readonly decode: (
+    key: string,
+    value: Buffer | undefined,
+  ) => StoreNews | undefined;
   readonly log?: DecisionLog;
 }
 
@@ -138,6 +153,12 @@
     requestTimeout: 0,
   });
   peerServer.on('request', createInbound(board, owner));
+  const controlServer = createServer((req, res) => {
+    serveControl(board, req, res).catch((err: Error) => {
+      log.write('notable', 'controlError', {error: err.message});
+      res.destroy();
+    });
+  });
   const readyServer = createReadyServer(board, deps.readyPath);
   const metricsServer = createMetricsServer(board);
 
@@ -160,9 +181,14 @@
       routes: config.routes.length,
     });
   };
-  const takeNews: Sidecar['takeNews'] = news => {
+  const takeChanges = (mirror: StoreMirror, changes: KeyChange[]): void => {
     const at = now();
-    for (const item of news) takeOne(item, at);
+    if (mirror.prefix === deps.listPrefix) board.list.complete = true;
+    if (changes.length === 0) return;
+    for (const {key, value} of changes) {
+      const item = deps.decode(key, value);
+      if (item) takeOne(item, at);
+    }
     pruneTargets(board.balance, board.list.byId);
     owner.sync();
   };
@@ -180,7 +206,7 @@
         upstream: id,
         service,
         state,
-        dataCentre,
+        listedIn: dataCentre,
         coldMs,
         bornAt,
       });
@@ -193,7 +219,7 @@
       if (board.list.takenOut.has(name) === takenOut) return;
       if (takenOut) board.list.takenOut.add(name);
       else board.list.takenOut.delete(name);
-      log.write('always', 'dataCentreChanged', {dataCentre: name, takenOut});
+      log.write('always', 'takeOutChanged', {changed: name, takenOut});
     },
     unreadable: ({key, reason}) => {
       count(board, 'store_unreadable');
@@ -210,8 +236,14 @@
 
   await openPort(customerServer, settings.customerPort, settings.host);
   await openPort(peerServer, settings.peerPort, settings.host);
+  await openPort(controlServer, settings.controlPort, settings.host);
   await openPort(readyServer, settings.readyPort, settings.host);
   await openPort(metricsServer, settings.metricsPort, settings.host);
+  const stopPeerSync = startPeerSync({
+    board,
+    client: control,
+    onChanges: takeChanges,
+  });
   const ticker = setInterval(() => {
     for (const upstream of expireUpstreams(board.list, now())) {
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
@@ -221,16 +253,16 @@
 
   return {
     board,
-    takeNews,
-    noteListComplete: () => {
-      board.list.complete = true;
-    },
-    noteSource(name, ok, reason) {
-      noteListFault(board.list, now());
-      count(board, ok ? 'source_recovered' : 'source_faults');
-      log.write('always', ok ? 'sourceRecovered' : 'sourceLost', {
-        source: name,
-        reason,
+    follow: (store, prefix) => {
+      const mirror = createMirror(prefix);
+      board.mirrors.push(mirror);
+      return startStoreWatch({
+        store,
+        mirror,
+        random,
+        onChanges: changes => takeChanges(mirror, changes),
+        onFault: err => noteSource(board, prefix, err.message),
+        onRecovered: () => noteSource(board, prefix, undefined),
       });
     },
     reload(next) {
@@ -245,11 +277,13 @@
       board.stopping = true;
       log.write('always', 'stopping', {running: entry.countRunning()});
       await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
+      board.closed = true;
       customerServer.close();
       customerServer.closeIdleConnections();
       const isBusy = () => entry.countRunning() + owner.countActive() > 0;
       while (isBusy() && now() < stopAt) await delay(STOP_POLL_MS);
       clearInterval(ticker);
+      stopPeerSync();
       const running = entry.countRunning();
       log.write('always', 'stopped', {running});
       await log.close();
@@ -257,6 +291,20 @@
   };
 }
 
+/** Notes that a part of the store cannot be read, or can be again. */
+function noteSource(
+  board: SidecarBoard,
+  prefix: string,
+  fault: string | undefined,
+): void {
+  noteListFault(board.list, board.now());
+  if (fault === undefined) board.lostSources.delete(prefix);
+  else board.lostSources.add(prefix);
+  count(board, fault === undefined ? 'source_recovered' : 'source_faults');
+  const decision = fault === undefined ? 'sourceRecovered' : 'sourceLost';
+  board.log.write('always', decision, {source: prefix, reason: fault});
+}
+
 function createReadyServer(board: SidecarBoard, path: string): Server {
   const app = polka();
   app.get(path, (_req, res) => {
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -83,6 +83,10 @@
   peerPort: z.int().min(1).max(65_535),
   /** Port that answers whether the daemon is ready. */
   readyPort: z.int().min(1).max(65_535),
+  /** Port at which daemons that know no peers yet ask for the state. */
+  controlPort: z.int().min(1).max(65_535),
+  /** Control addresses (host:port) of some daemons; they may be out of date. */
+  seeds: z.array(z.string()),
   /** Port of the metrics page. */
   metricsPort: z.int().min(1).max(65_535),
   upstream: z.object({host: NAME, port: z.int().min(1).max(65_535)}),
