--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -507,14 +507,18 @@
 function finishAnswered(
   state: EntryState,
   exchange: Exchange,
-  {status, headers, body}: HttpAnswer,
+  {status, headers, body, framed}: HttpAnswer,
 ): void {
   if (exchange.over) return;
   exchange.over = true;
   const {req, res} = exchange;
   const copy = copyAnswerHeaders(headers);
   const bodiless = req.method === 'HEAD' || status === 204 || status === 304;
-  if (!bodiless) copy['content-length'] = String(body.length);
+  if (!framed) {
+    // The customer learns the end of the body as this daemon did.
+    copy.connection = 'close';
+    res.useChunkedEncodingByDefault = false;
+  } else if (!bodiless) copy['content-length'] = String(body.length);
   else if (headers['content-length'] !== undefined) {
     copy['content-length'] = headers['content-length'];
   }
--- a/src/sidecar/hop.ts
+++ b/src/sidecar/hop.ts
@@ -80,6 +80,7 @@
       } else if (status !== 204 && status !== 304) {
         copy['content-length'] = String(body.length);
       }
+      if (!reply.answer.framed) copy[HEADERS.unframed] = '1';
       res.writeHead(status, {...copy, ...load});
       res.end(body);
       return;
@@ -141,7 +142,10 @@
   const verdict = readOne(headers, HEADERS.verdict);
   if (verdict === undefined) {
     // Every reply of an owner carries its load; anything else is no reply.
-    if (report) return {kind: 'answer', answer, report};
+    if (report) {
+      const framed = headers[HEADERS.unframed] === undefined;
+      return {kind: 'answer', answer: {...answer, framed}, report};
+    }
     return {kind: 'broken', outcome: 'crossedAnswer', code: 'NO_REPORT'};
   }
   const reason = parseReason(readOne(headers, HEADERS.reason) ?? '');
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -21,6 +21,11 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
+  /**
+   * False when only the end of the connection marks the end of the body: it may
+   * be cut short, and must not be passed on with a length.
+   */
+  readonly framed: boolean;
 }
 
 /**
@@ -207,7 +212,13 @@
     const [first] = this.#chunks;
     const single = this.#chunks.length === 1;
     const body = single ? first : Buffer.concat(this.#chunks, this.#size);
-    const answer = {status: this.#status, headers: this.#headers, body};
+    const status = this.#status;
+    const headers = this.#headers;
+    const framed =
+      body.length === 0 ||
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
+    const answer = {status, headers, body, framed};
     this.#end({kind: 'answer', answer});
   }
 
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -18,6 +18,8 @@
   key: 'idempotency-key',
   /** Terms of a request between sidecars: upstream, route, rank, times. */
   terms: 'berylbend-terms',
+  /** Present when the upstream's answer had no length. */
+  unframed: 'berylbend-unframed',
   /** Time after which a refused request is worth another try, ms. */
   retryMs: 'berylbend-retry-ms',
 } as const;
