--- /dev/null
+++ b/__tests__/balance.test.ts
@@ -0,0 +1,91 @@
+import test from 'ava';
+import {
+  chooseTarget,
+  createRandom,
+  createUpstreamList,
+  ejectTarget,
+  formatReport,
+  holdTarget,
+  noteTargetEnd,
+  noteTargetSend,
+  parseReport,
+  putUpstream,
+  type BalanceState,
+  type LoadReport,
+} from '../src/internal.js';
+import {makeUpstream} from './support/mesh_fixtures.js';
+
+const idle: LoadReport = {
+  inFlight: 0,
+  queued: 0,
+  slots: 4,
+  meanMs: 50,
+  failShare: 0,
+  cold: false,
+  leaving: false,
+};
+
+function makeRig() {
+  const list = createUpstreamList();
+  putUpstream(list, makeUpstream({id: 'near', port: 1}), 0);
+  putUpstream(list, makeUpstream({id: 'far', port: 2, dataCentre: 'dc2'}), 0);
+  const state: BalanceState = new Map();
+  const random = createRandom(1);
+  const choose = (now: number, fields: object = {}) => {
+    const context = {
+      dataCentre: 'dc1',
+      takenOut: new Set<string>(),
+      tried: new Set<string>(),
+      ...fields,
+    };
+    const upstreams = list.byService.get('s') ?? [];
+    return chooseTarget(state, upstreams, context, random, now)?.id;
+  };
+  return {list, state, choose};
+}
+
+test('the own data centre serves until it is full', t => {
+  const {state, choose} = makeRig();
+  t.is(choose(0), 'near');
+  for (let i = 0; i < 4; i++) noteTargetSend(state, 'near');
+  t.is(choose(0), 'far');
+});
+
+test('taken-out, leaving, tried and ejected upstreams get nothing', t => {
+  const {list, state, choose} = makeRig();
+  t.is(choose(0, {takenOut: new Set(['dc1'])}), 'far');
+  t.is(choose(0, {tried: new Set(['near'])}), 'far');
+  t.is(choose(0, {tried: new Set(['near', 'far'])}), undefined);
+  const ms = ejectTarget(state, 'near', 0);
+  t.is(choose(ms - 1), 'far');
+  t.is(choose(ms), 'near');
+  holdTarget(state, 'near', 1_000, ms);
+  t.is(choose(ms + 999), 'far');
+  putUpstream(list, makeUpstream({id: 'near', port: 1, state: 'leaving'}), 0);
+  t.is(choose(10_000), 'far');
+});
+
+test('an answer ends an ejection, and failures lengthen the next', t => {
+  const {state, choose} = makeRig();
+  const first = ejectTarget(state, 'near', 0);
+  const second = ejectTarget(state, 'near', first);
+  t.true(second > first);
+  noteTargetEnd(state, 'near', idle, first + 1);
+  t.is(choose(first + 1), 'near');
+});
+
+test('an upstream that fails most requests is avoided', t => {
+  const {list, state, choose} = makeRig();
+  putUpstream(list, makeUpstream({id: 'near2', port: 3}), 0);
+  noteTargetEnd(state, 'near', {...idle, failShare: 0.6}, 0);
+  noteTargetEnd(state, 'near2', {...idle, inFlight: 2}, 0);
+  t.is(choose(1), 'near2');
+});
+
+test('reports survive the wire, malformed ones are ignored', t => {
+  const report = {...idle, inFlight: 3, queued: 9, failShare: 0.25, cold: true};
+  t.deepEqual(parseReport(formatReport(report)), report);
+  for (const text of [undefined, '', '1,2,3', '1,2,3,4,5,x', '-1,0,1,1,1,0']) {
+    t.is(parseReport(text), undefined);
+  }
+});
--- /dev/null
+++ b/__tests__/decision_log.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+import {
+  createDecisionLog,
+  MAX_PENDING_BYTES,
+  NOTABLE_LINES_PER_S,
+  ROUTINE_LINES_PER_S,
+} from '../src/sidecar/decision_log.js';
+
+function makeRig(reading = true) {
+  const rig = {now: 0, texts: [] as string[], pending: [] as Array<() => void>};
+  const log = createDecisionLog({
+    id: 'd1',
+    dataCentre: 'dc1',
+    now: () => rig.now,
+    out: (text, done) => {
+      rig.texts.push(text);
+      if (reading) done();
+      else rig.pending.push(done);
+    },
+  });
+  const readLines = () =>
+    rig.texts
+      .join('')
+      .split('\n')
+      .filter(line => line !== '')
+      .map(line => JSON.parse(line) as Record<string, unknown>);
+  return {rig, log, readLines};
+}
+
+test('failures are kept when routine lines are left out', async t => {
+  const {rig, log, readLines} = makeRig();
+  for (let i = 0; i < 1_000; i++) log.write('routine', 'request', {i});
+  for (let i = 0; i < 50; i++) log.write('notable', 'resend', {i});
+  rig.now = 1_000;
+  log.write('always', 'stopped', {});
+  await log.close();
+  const lines = readLines();
+  const count = (name: string) =>
+    lines.filter(line => line.decision === name).length;
+  t.is(count('request'), ROUTINE_LINES_PER_S);
+  t.is(count('resend'), 50);
+  const dropped = lines.find(line => line.decision === 'linesDropped');
+  t.is(dropped?.lines, 1_000 - ROUTINE_LINES_PER_S);
+});
+
+test('the volume of a second is bounded', async t => {
+  const {log, readLines} = makeRig();
+  for (let i = 0; i < 10_000; i++) log.write('notable', 'resend', {i});
+  await log.close();
+  t.is(readLines().length, NOTABLE_LINES_PER_S);
+});
+
+// A reader that stops reading standard output must slow no request and take no
+// memory without bound.
+test('a reader that stops reading costs a bounded buffer', t => {
+  const {rig, log} = makeRig(false);
+  for (let i = 0; i < 20_000; i++) {
+    rig.now += 10;
+    log.write('always', 'upstreamListed', {text: 'x'.repeat(100)});
+  }
+  t.true(log.countDropped() > 0);
+  t.true(rig.texts.join('').length <= MAX_PENDING_BYTES);
+});
--- /dev/null
+++ b/__tests__/platform_decode.test.ts
@@ -0,0 +1,155 @@
+import test from 'ava';
+import {decodeEntry, parseDuration} from '../platform/decode.js';
+import {decodeSettings} from '../platform/settings.js';
+
+const entry = {
+  addr: '10.1.0.8:8301',
+  born: 1_700_000_000_000,
+  info: {service: 's', version: 'v1', zone: 'dc1', slots: 6},
+  status: {state: 'ready', sequence: 4, cold_left: '2.5s'},
+};
+
+const config = {
+  version: '0000001f',
+  base_version: '0000001c',
+  routes: [
+    {
+      name: 'r1',
+      host: 'Shop.example',
+      path_prefix: '/a/',
+      kind: 'non_idempotent',
+      timeout: '800ms',
+      goal: '0.25s',
+      priority: 1,
+      service: 's',
+      attempts: 2,
+    },
+    {
+      name: 'r2',
+      host: 'shop.example',
+      path_prefix: '/b/',
+      kind: 'download',
+      timeout: '800ms',
+      goal: '250ms',
+      priority: 2,
+      split: [
+        {service: 's', weight: 90},
+        {service: 'z', weight: 10},
+      ],
+      attempts: 2,
+    },
+  ],
+  services: [
+    {
+      name: 's',
+      health_path: '/healthz',
+      max_conns: 130,
+      protocol: 'h1',
+      tls: false,
+      cold: '3s',
+      cold_per_s: 23.0,
+    },
+  ],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 67_108_864,
+    header_timeout: '3000ms',
+    idle_timeout: '15000ms',
+  },
+};
+
+function encode(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+test('durations have a number and a unit', t => {
+  t.is(parseDuration('1500ms'), 1_500);
+  t.is(parseDuration('2.5s'), 2_500);
+  for (const text of ['', '5', '5m', 'ms', undefined, 5]) {
+    t.true(Number.isNaN(parseDuration(text)));
+  }
+});
+
+test('entries of the store become the types of the product', t => {
+  t.snapshot(decodeEntry('servers/i-1', encode(entry)));
+  t.snapshot(decodeEntry('op/config', encode(config)));
+  t.snapshot(decodeEntry('op/evacuate/dc1', encode({})));
+  t.snapshot(decodeEntry('op/evacuate/dc1', undefined));
+  t.snapshot(decodeEntry('servers/i-1', undefined));
+  t.is(decodeEntry('elsewhere', encode({})), undefined);
+});
+
+// Other writers leave entries that name no upstream; the others must hold.
+test('entries that cannot be used are told apart', t => {
+  const {status, info} = entry;
+  const bad: unknown[] = [
+    null,
+    [],
+    'text',
+    {...entry, addr: 'nowhere'},
+    {...entry, addr: 7},
+    {...entry, info: {...info, slots: '6'}},
+    {...entry, info: {...info, service: undefined}},
+    {...entry, info: null},
+    {...entry, status: {...status, state: 'sleeping'}},
+    {...entry, status: {...status, cold_left: 'soon'}},
+    {...entry, born: 'yesterday'},
+  ];
+  for (const value of bad) {
+    const news = decodeEntry('servers/i-1', encode(value));
+    t.is(news?.kind, 'unreadable', JSON.stringify(value));
+  }
+  const bytes = Buffer.from([0xff, 0xfe, 0]);
+  t.is(decodeEntry('servers/i-1', bytes)?.kind, 'unreadable');
+  t.is(decodeEntry('op/config', encode({}))?.kind, 'unreadable');
+});
+
+const settings = {
+  self: {
+    node: 'sidecar-a-1',
+    ip: '10.1.0.8',
+    zone: 'dc1',
+    limits: {memory_mb: 350},
+    app_addr: '10.1.0.8:8301',
+    service: 's',
+    unknown_field: true,
+  },
+  network: {
+    listen: {
+      inbound: '10.1.0.8:8300',
+      outbound: '10.1.0.8:8304',
+      ready: '10.1.0.8:8302',
+      control: '10.1.0.8:8303',
+    },
+    port_range: [7620, 7635],
+    seeds: ['10.2.0.9:8303'],
+  },
+  platform: {platform: {addr: '10.200.1.7:8309'}},
+  terms: {
+    bounds: {
+      grace: '6s',
+      budget_ratio: 0.2,
+      budget_slack: 56,
+      budget_window: '10s',
+    },
+  },
+};
+
+test('settings of the platform become settings of the daemon', t => {
+  t.snapshot(decodeSettings(settings));
+});
+
+test('a wrong setting is named as the file spells it', t => {
+  const {self, network, terms} = settings;
+  const wrong: Array<[string, unknown]> = [
+    ['self.node', {...settings, self: {...self, node: undefined}}],
+    ['self.app_addr', {...settings, self: {...self, app_addr: 'x'}}],
+    ['network.listen', {...settings, network: {...network, listen: {}}}],
+    ['terms.bounds.grace', {...settings, terms: {...terms, bounds: {}}}],
+    ['platform.platform.addr', {...settings, platform: {}}],
+  ];
+  for (const [field, value] of wrong) {
+    const err = t.throws(() => decodeSettings(value), {any: true});
+    t.true((err as Error).message.startsWith(field), String(err));
+  }
+});
--- /dev/null
+++ b/__tests__/resend_budget.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import {
+  createResendBudget,
+  createRandom,
+  creditRequest,
+  takeResend,
+} from '../src/internal.js';
+
+// All daemons together must stay within ratio x requests + slack in any window,
+// although they exchange no message about it.
+test('the sum over all daemons stays within the bound', t => {
+  const bounds = {ratio: 0.2, slack: 56};
+  for (const daemons of [1, 10, 80]) {
+    const random = createRandom(daemons);
+    const budgets = Array.from({length: daemons}, () =>
+      createResendBudget(bounds),
+    );
+    let requests = 0;
+    let resends = 0;
+    for (let i = 0; i < 2_000; i++) {
+      const budget = budgets[Math.floor(random() * daemons)];
+      creditRequest(budget, 's', daemons);
+      requests++;
+      while (takeResend(budget, 's')) resends++;
+    }
+    const bound = bounds.ratio * requests + bounds.slack;
+    t.true(resends <= bound, `${daemons} daemons: ${resends} of ${bound}`);
+  }
+});
+
+test('a budget that was never credited allows nothing', t => {
+  t.false(takeResend(createResendBudget({ratio: 0.2, slack: 56}), 's'));
+});
+
+test('idle time does not add to the reserve', t => {
+  const budget = createResendBudget({ratio: 0.2, slack: 10});
+  for (let i = 0; i < 1_000; i++) creditRequest(budget, 's', 1);
+  let taken = 0;
+  while (takeResend(budget, 's')) taken++;
+  t.true(taken <= 10);
+});
--- /dev/null
+++ b/__tests__/support/mesh_fixtures.ts
@@ -0,0 +1,33 @@
+import type {MeshRoute, MeshUpstream} from '../../src/internal.js';
+
+/** Route with defaults for tests. */
+export function makeRoute(fields: Partial<MeshRoute> = {}): MeshRoute {
+  return {
+    name: 'r',
+    host: 'shop.example',
+    pathPrefix: '/a/',
+    parts: [{service: 's', weight: 1}],
+    repeatable: true,
+    timeoutMs: 1_000,
+    goalMs: 200,
+    attempts: 2,
+    rank: 1,
+    ...fields,
+  };
+}
+
+/** Listed upstream with defaults for tests. */
+export function makeUpstream(fields: Partial<MeshUpstream> = {}): MeshUpstream {
+  return {
+    id: 'u1',
+    service: 's',
+    host: '127.0.0.1',
+    port: 8_000,
+    dataCentre: 'dc1',
+    slots: 4,
+    state: 'live',
+    coldMs: 0,
+    bornAt: 1,
+    ...fields,
+  };
+}
--- /dev/null
+++ b/__tests__/support/sidecar_rig.ts
@@ -0,0 +1,317 @@
+import {
+  createServer,
+  request as httpRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import type {ExecutionContext} from 'ava';
+import {
+  decodeEntry,
+  HEADER_NAMES,
+  OPERATOR_PREFIX,
+  READY_PATH,
+  UPSTREAM_PREFIX,
+} from '../../platform/decode.js';
+import type {SidecarSettings} from '../../src/internal.js';
+import {createDecisionLog} from '../../src/sidecar/decision_log.js';
+import {startSidecar, type Sidecar} from '../../src/sidecar/sidecar.js';
+import {createFakeStore, type FakeStore} from './store_fake.js';
+
+/** Upstream whose handler a test may replace. */
+export interface RigUpstream {
+  readonly id: string;
+  readonly host: string;
+  readonly port: number;
+  /** Requests that it began to run, by request id. */
+  readonly runs: string[];
+  readonly seen: IncomingMessage[];
+  handle: (req: IncomingMessage, res: ServerResponse) => void;
+  health: Record<string, string>;
+  close(): Promise<void>;
+}
+
+/** Answer as a customer sees it; `broken` when it did not end properly. */
+export interface RigAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  readonly broken: boolean;
+}
+
+/** Fleet of sidecars in one process, each on a loopback address of its own. */
+export interface SidecarRig {
+  readonly store: FakeStore;
+  readonly sidecars: Sidecar[];
+  readonly upstreams: RigUpstream[];
+  readonly lines: string[];
+  /** Sends a customer's request to a sidecar. */
+  send(
+    index: number,
+    options?: {
+      path?: string;
+      method?: string;
+      id?: string;
+      deadlineMs?: number;
+      body?: string;
+      headers?: Record<string, string>;
+      onSocket?: (socket: Socket) => void;
+    },
+  ): Promise<RigAnswer>;
+  /** Status of the readiness page of a sidecar. */
+  readReady(index: number): Promise<number>;
+  publish(change?: object): void;
+}
+
+/** Answers as a sound upstream does. */
+export function answerSoundly(
+  req: IncomingMessage,
+  res: ServerResponse,
+  body = 'hello',
+): void {
+  res.writeHead(200, {
+    'x-request-id': req.headers['x-request-id'],
+    'x-server-stamp': 'signed',
+    'content-length': Buffer.byteLength(body),
+  });
+  res.end(body);
+}
+
+const ROUTES = [
+  {
+    name: 'read',
+    host: 'shop.example',
+    path_prefix: '/read/',
+    kind: 'idempotent',
+    timeout: '600ms',
+    goal: '300ms',
+    priority: 1,
+    service: 's',
+    attempts: 2,
+  },
+  {
+    name: 'book',
+    host: 'shop.example',
+    path_prefix: '/book/',
+    kind: 'non_idempotent',
+    timeout: '600ms',
+    goal: '300ms',
+    priority: 0,
+    service: 's',
+    attempts: 2,
+  },
+];
+
+let nextHost = 2;
+
+/** Starts a fleet; the data centre of sidecar `i` is `dcs[i]`. */
+export async function startRig(
+  t: ExecutionContext,
+  dcs: readonly string[],
+): Promise<SidecarRig> {
+  const store = createFakeStore();
+  const lines: string[] = [];
+  const hosts = dcs.map(
+    () => `127.77.${(process.pid >> 1) & 127}.${nextHost++}`,
+  );
+  const upstreams: RigUpstream[] = [];
+  for (const [i, host] of hosts.entries()) {
+    upstreams.push(await startUpstream(`u${i}`, host));
+  }
+  const ports = await findPorts(hosts[0], 5);
+  let version = 1;
+  const publish = (change: object = {}) => {
+    version += 3;
+    store.put('op/config', {
+      version: version.toString(16).padStart(8, '0'),
+      routes: ROUTES,
+      services: [
+        {
+          name: 's',
+          health_path: '/healthz',
+          max_conns: 100,
+          cold: '3s',
+          cold_per_s: 20,
+        },
+      ],
+      limits: {
+        max_header_bytes: 4_096,
+        max_body_bytes: 10_000,
+        header_timeout: '3000ms',
+        idle_timeout: '5000ms',
+      },
+      ...change,
+    });
+  };
+  publish();
+  for (const [i, {id, host, port}] of upstreams.entries()) {
+    store.put(`servers/${id}`, {
+      addr: `${host}:${port}`,
+      born: 1_000 + i,
+      info: {service: 's', version: 'v1', zone: dcs[i], slots: 8},
+      status: {state: 'ready', sequence: 1, cold_left: '0ms'},
+    });
+  }
+  const sidecars: Sidecar[] = [];
+  for (const [i, {host, port}] of upstreams.entries()) {
+    const [customerPort, peerPort, readyPort, controlPort, metricsPort] = ports;
+    const settings: SidecarSettings = {
+      id: `d${i}`,
+      dataCentre: dcs[i],
+      service: 's',
+      host,
+      customerPort,
+      peerPort,
+      readyPort,
+      controlPort,
+      metricsPort,
+      seeds: [],
+      upstream: {host, port},
+      memoryMb: 128,
+      graceMs: 2_000,
+      resends: {ratio: 0.2, slack: 50, windowMs: 10_000},
+    };
+    const sidecar = await startSidecar({
+      settings,
+      names: HEADER_NAMES,
+      readyPath: READY_PATH,
+      listPrefix: UPSTREAM_PREFIX,
+      decode: decodeEntry,
+      log: createDecisionLog({
+        id: settings.id,
+        dataCentre: dcs[i],
+        now: () => performance.now(),
+        out: (text, done) => {
+          lines.push(...text.trim().split('\n'));
+          done();
+        },
+      }),
+    });
+    const watches = [OPERATOR_PREFIX, UPSTREAM_PREFIX].map(prefix =>
+      sidecar.follow(store, prefix),
+    );
+    t.teardown(async () => {
+      for (const watch of watches) watch.stop();
+      await sidecar.close();
+    });
+    sidecars.push(sidecar);
+  }
+  t.teardown(() => Promise.all(upstreams.map(upstream => upstream.close())));
+  const rig: SidecarRig = {
+    store,
+    sidecars,
+    upstreams,
+    lines,
+    publish,
+    send: (index, options = {}) => sendRequest(hosts[index], ports[0], options),
+    readReady: async index => {
+      const url = `http://${hosts[index]}:${ports[2]}${READY_PATH}`;
+      return (await fetch(url)).status;
+    },
+  };
+  await until(() =>
+    sidecars.every(({board}) => board.table && board.gate.coldUntil < Infinity),
+  );
+  return rig;
+}
+
+/** Waits until a condition holds; the test's own time limit bounds it. */
+export async function until(condition: () => unknown): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+async function startUpstream(id: string, host: string): Promise<RigUpstream> {
+  const sockets = new Set<Socket>();
+  const server = createServer((req, res) => {
+    if (req.url === '/healthz') {
+      res.writeHead(200, {'x-instance-id': id, ...upstream.health}).end();
+      return;
+    }
+    upstream.runs.push(String(req.headers['x-request-id']));
+    upstream.seen.push(req);
+    upstream.handle(req, res);
+  });
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  const port = await listen(server, host);
+  const upstream: RigUpstream = {
+    id,
+    host,
+    port,
+    runs: [],
+    seen: [],
+    handle: answerSoundly,
+    health: {},
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        for (const socket of sockets) socket.resetAndDestroy();
+      }),
+  };
+  return upstream;
+}
+
+function listen(server: Server, host: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(0, host, () =>
+      resolve((server.address() as AddressInfo).port),
+    );
+  });
+}
+
+/** Finds ports that are free on one address; they are free on the others too,
+ * since nothing else listens on the addresses of a rig. */
+async function findPorts(host: string, count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) ports.push(await listen(server, host));
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
+}
+
+let nextId = 1;
+
+function sendRequest(
+  host: string,
+  port: number,
+  options: NonNullable<Parameters<SidecarRig['send']>[1]>,
+): Promise<RigAnswer> {
+  const {path = '/read/1', method = 'GET', deadlineMs = 1_000} = options;
+  return new Promise((resolve, reject) => {
+    const req = httpRequest(
+      {
+        host,
+        port,
+        path,
+        method,
+        agent: false,
+        headers: {
+          host: 'shop.example',
+          'x-request-id': options.id ?? `r${nextId++}`,
+          'x-deadline-ms': String(deadlineMs),
+          ...options.headers,
+        },
+      },
+      res => {
+        let body = '';
+        const {statusCode: status = 0, headers} = res;
+        const end = (broken: boolean) =>
+          resolve({status, headers, body, broken});
+        res.setEncoding('utf8');
+        res.on('data', chunk => (body += chunk));
+        res.on('end', () => end(false));
+        res.on('error', () => end(true));
+      },
+    );
+    req.on('error', reject);
+    if (options.onSocket) req.on('socket', options.onSocket);
+    req.end(options.body);
+  });
+}
--- /dev/null
+++ b/__tests__/support/store_fake.ts
@@ -0,0 +1,84 @@
+import type {KeyValueStore, StoreEvent, StoreItem} from '../../src/internal.js';
+
+/** Store in memory with switches for the faults of the platform's store. */
+export interface FakeStore extends KeyValueStore {
+  put(key: string, value: unknown): void;
+  remove(key: string): void;
+  /** Drops the history: the next watch is told that it is gone. */
+  compact(): void;
+  /** While set, every call fails. */
+  down: boolean;
+  calls: number;
+}
+
+/** Creates an empty store; `pageSize` is the number of items of one page. */
+export function createFakeStore(pageSize = 500): FakeStore {
+  const items = new Map<string, StoreItem>();
+  let history: StoreEvent[] = [];
+  let revision = 1;
+  let firstKept = 0;
+  const waiters = new Set<() => void>();
+  const record = (event: StoreEvent) => {
+    history.push(event);
+    for (const wake of [...waiters]) wake();
+  };
+  const check = () => {
+    store.calls++;
+    if (store.down) throw new Error('store is down');
+  };
+  const since = (prefix: string, after: number) =>
+    history.filter(
+      event => event.key.startsWith(prefix) && event.revision > after,
+    );
+  const store: FakeStore = {
+    down: false,
+    calls: 0,
+    put(key, value) {
+      const text = typeof value === 'string' ? value : JSON.stringify(value);
+      const item = {key, value: Buffer.from(text), revision: ++revision};
+      items.set(key, item);
+      record(item);
+    },
+    remove(key) {
+      items.delete(key);
+      record({key, revision: ++revision});
+    },
+    compact() {
+      history = [];
+      firstKept = revision;
+      for (const wake of [...waiters]) wake();
+    },
+    async readPage(prefix, after) {
+      check();
+      const keys = [...items.keys()].filter(
+        key => key.startsWith(prefix) && (after === undefined || key > after),
+      );
+      const page = keys.sort().slice(0, pageSize);
+      return {
+        items: page.map(key => items.get(key) as StoreItem),
+        more: page.length < keys.length,
+        revision,
+      };
+    },
+    async watch(prefix, after, waitMs) {
+      check();
+      if (after < firstKept) return 'compacted';
+      if (since(prefix, after).length === 0) await wait(waitMs);
+      if (store.down) throw new Error('store is down');
+      if (after < firstKept) return 'compacted';
+      return {events: since(prefix, after), revision};
+    },
+    close: () => Promise.resolve(),
+  };
+  const wait = (waitMs: number): Promise<void> =>
+    new Promise(resolve => {
+      const wake = () => {
+        clearTimeout(timer);
+        waiters.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, waitMs);
+      waiters.add(wake);
+    });
+  return store;
+}
--- /dev/null
+++ b/__tests__/upstream_list.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import {
+  createUpstreamList,
+  expireUpstreams,
+  findByAddress,
+  LAPSE_GRACE_MS,
+  noteListFault,
+  putUpstream,
+  removeUpstream,
+} from '../src/internal.js';
+import {makeUpstream} from './support/mesh_fixtures.js';
+
+test('a vanished entry is gone at once while the list is sound', t => {
+  const list = createUpstreamList();
+  putUpstream(list, makeUpstream(), 0);
+  t.true(removeUpstream(list, 'u1', 10));
+  t.is(list.byService.get('s'), undefined);
+});
+
+test('entries that lapse around an outage are kept until it is clear', t => {
+  const list = createUpstreamList();
+  putUpstream(list, makeUpstream({id: 'back'}), 0);
+  putUpstream(list, makeUpstream({id: 'lost', port: 8_001}), 0);
+  noteListFault(list, 1_000);
+  t.false(removeUpstream(list, 'back', 1_100));
+  t.false(removeUpstream(list, 'lost', 1_100));
+  t.is(list.byService.get('s')?.length, 2);
+  putUpstream(list, makeUpstream({id: 'back'}), 2_000);
+  t.deepEqual(expireUpstreams(list, 1_000 + LAPSE_GRACE_MS), ['lost']);
+  t.deepEqual([...list.byId.keys()], ['back']);
+});
+
+test('an upstream that was leaving is not kept', t => {
+  const list = createUpstreamList();
+  putUpstream(list, makeUpstream({state: 'leaving'}), 0);
+  noteListFault(list, 0);
+  t.true(removeUpstream(list, 'u1', 10));
+});
+
+test('an address that another upstream took over names only the younger', t => {
+  const list = createUpstreamList();
+  putUpstream(list, makeUpstream({id: 'old', bornAt: 5}), 0);
+  putUpstream(list, makeUpstream({id: 'new', service: 'z', bornAt: 9}), 0);
+  t.is(findByAddress(list, '127.0.0.1', 8_000)?.id, 'new');
+  t.is(list.byService.get('s'), undefined);
+});
+
+test('a late write of an earlier incarnation is ignored', t => {
+  const list = createUpstreamList();
+  putUpstream(list, makeUpstream({bornAt: 9}), 0);
+  t.false(putUpstream(list, makeUpstream({bornAt: 5, state: 'leaving'}), 1));
+  t.is(list.byId.get('u1')?.state, 'live');
+});
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -9,6 +9,7 @@
   createRouteTable,
   expireUpstreams,
   isGateCold,
+  LAG_WINDOW_MS,
   createMirror,
   noteListFault,
   startStoreWatch,
@@ -55,9 +56,6 @@
 /** Interval at which connections with late headers are looked for, ms. */
 const HEADER_CHECK_MS = 500;
 
-/** Interval of the checks for entries whose grace has ended, ms. */
-const TICK_MS = 100;
-
 /** Time after SIGTERM for which new requests are taken, ms: two readiness
  * checks, one second apart, must fail before customers go elsewhere. */
 const DRAIN_NOTICE_MS = 2_500;
@@ -83,6 +81,8 @@
   noteBadSettings(reason: string): void;
   /** Stops gracefully; resolves when the process may end. */
   stop(): Promise<void>;
+  /** Closes all ports and connections at once. */
+  close(): Promise<void>;
 }
 
 /** What a sidecar is started with. */
@@ -239,16 +239,24 @@
   await openPort(controlServer, settings.controlPort, settings.host);
   await openPort(readyServer, settings.readyPort, settings.host);
   await openPort(metricsServer, settings.metricsPort, settings.host);
+  const servers = [
+    customerServer,
+    peerServer,
+    controlServer,
+    readyServer,
+    metricsServer,
+  ];
   const stopPeerSync = startPeerSync({
     board,
     client: control,
     onChanges: takeChanges,
   });
   const ticker = setInterval(() => {
+    board.lag.read();
     for (const upstream of expireUpstreams(board.list, now())) {
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
     }
-  }, TICK_MS);
+  }, LAG_WINDOW_MS);
   log.write('always', 'started', {service: settings.service});
 
   return {
@@ -282,12 +290,17 @@
       customerServer.closeIdleConnections();
       const isBusy = () => entry.countRunning() + owner.countActive() > 0;
       while (isBusy() && now() < stopAt) await delay(STOP_POLL_MS);
-      clearInterval(ticker);
-      stopPeerSync();
       const running = entry.countRunning();
       log.write('always', 'stopped', {running});
       await log.close();
     },
+    async close() {
+      clearInterval(ticker);
+      stopPeerSync();
+      for (const server of servers) server.closeAllConnections();
+      await Promise.all(servers.map(closePort));
+      await Promise.all([entry.close(), owner.stop(), control.close()]);
+    },
   };
 }
 
@@ -363,6 +376,13 @@
   );
 }
 
+function closePort(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    if (server.listening) server.close(() => resolve());
+    else resolve();
+  });
+}
+
 function openPort(server: Server, port: number, host: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
