Do not offer requests to full upstreams again at once

A refusal for want of room holds 100 ms at most for requests of the same or a lower rank; routes with large answers change the data centre only after their own has refused.

--- a/__tests__/balance.test.ts
+++ b/__tests__/balance.test.ts
@@ -6,6 +6,7 @@
   ejectTarget,
   formatReport,
   holdTarget,
+  noteFull,
   noteTargetEnd,
   noteTargetSend,
   parseReport,
@@ -36,6 +37,8 @@
       dataCentre: 'dc1',
       takenOut: new Set<string>(),
       tried: new Set<string>(),
+      rank: 1,
+      heavy: false,
       ...fields,
     };
     const upstreams = list.byService.get('s') ?? [];
@@ -89,3 +92,20 @@
     t.is(parseReport(text), undefined);
   }
 });
+
+// Ninety kilobytes between data centres cost more than a short wait.
+test('large answers change the data centre only after a refusal', t => {
+  const {state, choose} = makeRig();
+  for (let i = 0; i < 9; i++) noteTargetSend(state, 'near');
+  t.is(choose(0, {heavy: true}), 'near');
+  t.is(choose(0, {heavy: true, tried: new Set(['near'])}), 'far');
+});
+
+test('a full upstream is not asked again at once, but for urgent work', t => {
+  const {state, choose} = makeRig();
+  noteFull(state, 'near', 1, 1_000, 0);
+  noteFull(state, 'far', 1, 1_000, 0);
+  t.is(choose(50), undefined);
+  t.is(choose(50, {rank: 0}), 'near');
+  t.is(choose(150), 'near');
+});
--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -43,6 +43,9 @@
   sent: number;
   ejectMs: number;
   ejectedUntil: number;
+  /** Monotonic time up to which requests of `fullRank` and above are full. */
+  fullUntil: number;
+  fullRank: number;
 }
 
 /** What this daemon has observed of the upstreams that it sends to. */
@@ -57,6 +60,8 @@
       sent: 0,
       ejectMs: 0,
       ejectedUntil: -Infinity,
+      fullUntil: -Infinity,
+      fullRank: Infinity,
     };
     state.set(id, observed);
   }
@@ -70,6 +75,13 @@
   readonly takenOut: ReadonlySet<string>;
   /** Upstreams that have had the request. */
   readonly tried: ReadonlySet<string>;
+  /** Rank of the request in queues; 0 goes first. */
+  readonly rank: number;
+  /**
+   * True when request and answer are large: another data centre is then chosen
+   * only after the own one has refused.
+   */
+  readonly heavy: boolean;
 }
 
 /** Chooses the upstream of the next attempt; undefined when none is left. */
@@ -88,6 +100,7 @@
     if (context.takenOut.has(upstream.dataCentre)) continue;
     const observed = observe(state, upstream.id);
     if (now < observed.ejectedUntil) continue;
+    if (now < observed.fullUntil && context.rank >= observed.fullRank) continue;
     const score = computeScore(upstream, observed, context, fastest, now);
     const varied = score * (1 + 0.1 * random());
     if (varied < bestScore) {
@@ -141,7 +154,9 @@
   }
   if ((report?.cold ?? now < upstream.coldUntil) && load > 0.2) score += 1;
   if (load > FULL_LOAD) score += REMOTE_SCORE;
-  if (upstream.dataCentre !== context.dataCentre) score += REMOTE_SCORE / 2;
+  if (upstream.dataCentre !== context.dataCentre) {
+    score += context.heavy ? REMOTE_SCORE * 2 : REMOTE_SCORE / 2;
+  }
   return score;
 }
 
@@ -194,6 +209,26 @@
   observed.ejectedUntil = Math.max(observed.ejectedUntil, now + forMs);
 }
 
+/** Longest time for which a refusal for want of room holds, ms. */
+const FULL_HOLD_MS = 100;
+
+/**
+ * Notes that an upstream had no room for a request of a rank: less urgent ones
+ * need not be offered to it for a moment.
+ */
+export function noteFull(
+  state: BalanceState,
+  id: string,
+  rank: number,
+  retryAfterMs: number,
+  now: number,
+): void {
+  const observed = observe(state, id);
+  const held = now < observed.fullUntil;
+  observed.fullRank = held ? Math.min(observed.fullRank, rank) : rank;
+  observed.fullUntil = now + Math.min(FULL_HOLD_MS, retryAfterMs);
+}
+
 /** Forgets upstreams that are no longer listed and have no request. */
 export function pruneTargets(
   state: BalanceState,
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -34,6 +34,8 @@
   /** Prefixes that the store does not answer for at present. */
   readonly lostSources: Set<string>;
   readonly balance: BalanceState;
+  /** Mean bytes of request and answer by route name. */
+  readonly routeBytes: Map<string, number>;
   readonly resends: ResendBudget;
   readonly splits: SplitState;
   readonly suspects: Suspects;
@@ -68,6 +70,7 @@
     mirrors: [],
     lostSources: new Set(),
     balance: new Map(),
+    routeBytes: new Map(),
     resends: createResendBudget(deps.settings.resends),
     splits: new Map(),
     suspects: createSuspects(),
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -14,6 +14,7 @@
   formatReason,
   holdTarget,
   judgeRequest,
+  noteFull,
   noteTargetEnd,
   noteTargetSend,
   OUTCOMES,
@@ -73,6 +74,13 @@
 /** Time after which a request that had no upstream may find one, ms. */
 const NO_UPSTREAM_RETRY_MS = 300;
 
+/** Bytes of request and answer above which data centres are not changed for
+ * a little time: the way between them is what costs most. */
+const HEAVY_BYTES = 4_096;
+
+/** Weight of the newest size in the mean of a route. */
+const BYTES_GAIN = 0.1;
+
 /** Handler of customers' requests. */
 export interface Entry {
   (req: IncomingMessage, res: ServerResponse): void;
@@ -336,12 +344,30 @@
       dataCentre: board.settings.dataCentre,
       takenOut: board.list.takenOut,
       tried: exchange.tried,
+      rank: exchange.route?.rank ?? 0,
+      heavy: isHeavy(board, exchange.route),
     },
     board.random,
     board.now(),
   );
 }
 
+/** True when the requests and answers of a route are large on average. */
+function isHeavy(board: SidecarBoard, route: MeshRoute | undefined): boolean {
+  return (board.routeBytes.get(route?.name ?? '') ?? 0) > HEAVY_BYTES;
+}
+
+function noteBytes(
+  board: SidecarBoard,
+  exchange: Exchange,
+  answer: HttpAnswer,
+): void {
+  const name = exchange.route?.name ?? '';
+  const bytes = (exchange.body?.length ?? 0) + answer.body.length;
+  const known = board.routeBytes.get(name) ?? bytes;
+  board.routeBytes.set(name, known + BYTES_GAIN * (bytes - known));
+}
+
 async function offer(
   state: EntryState,
   exchange: Exchange,
@@ -393,6 +419,7 @@
   switch (reply.kind) {
     case 'answer':
       exchange.arrivals++;
+      noteBytes(board, exchange, reply.answer);
       if (reply.answer.status < 500 || !canResend(state, exchange, suspect)) {
         finishAnswered(state, exchange, reply.answer);
         return true;
@@ -438,6 +465,9 @@
   }
   if (outcome === 'leaving' || outcome === 'wrongOwner') {
     holdTarget(board.balance, upstream.id, LEAVING_HOLD_MS, board.now());
+  } else if (outcome === 'full' || outcome === 'cold') {
+    const rank = exchange.route?.rank ?? 0;
+    noteFull(board.balance, upstream.id, rank, retryAfterMs, board.now());
   } else if (outcome === 'upstreamDown') {
     ejectTarget(board.balance, upstream.id, board.now());
   }
@@ -501,7 +531,13 @@
 function finishUnserved(state: EntryState, exchange: Exchange): void {
   const {failure, outcome} = exchange;
   if (failure) return finishAnswered(state, exchange, failure);
-  finishRefused(state, exchange, outcome ?? 'noUpstream');
+  const {board} = state;
+  const listed = board.list.byService.get(exchange.service) ?? [];
+  const some = listed.some(
+    ({state, dataCentre}) =>
+      state === 'live' && !board.list.takenOut.has(dataCentre),
+  );
+  finishRefused(state, exchange, outcome ?? (some ? 'full' : 'noUpstream'));
 }
 
 function finishAnswered(
