Leave half of the resend budget for the calls of repeated runs

Ruled out: the reserve of restarted daemons (no restart before second 39). Test: __tests__/resend_budget.test.ts failed with 1,220 of 762 before.

--- a/__tests__/resend_budget.test.ts
+++ b/__tests__/resend_budget.test.ts
@@ -39,3 +39,33 @@
   while (takeResend(budget, 's')) taken++;
   t.true(taken <= 10);
 });
+
+// A resend of a status read made its calls again, and those counted as repeats
+// at the called service: 1,023 in 10 s, where 906 were allowed.
+test('the bound holds with the calls of repeated runs', t => {
+  const bounds = {ratio: 0.2, slack: 62};
+  const daemons = 12;
+  const callsPerRequest = 1.4;
+  const random = createRandom(3);
+  const budgets = Array.from({length: daemons}, () =>
+    createResendBudget(bounds),
+  );
+  let requests = 0;
+  let repeats = 0;
+  const request = (service: string): number => {
+    const budget = budgets[Math.floor(random() * daemons)];
+    creditRequest(budget, service, daemons);
+    let resends = 0;
+    while (takeResend(budget, service)) resends++;
+    return resends;
+  };
+  for (let i = 0; i < 2_500; i++) {
+    repeats += request('caller') * callsPerRequest;
+    requests += callsPerRequest;
+    for (let call = random() < 0.4 ? 1 : 2; call > 0; call--) {
+      repeats += request('called');
+    }
+  }
+  const bound = bounds.ratio * requests + bounds.slack;
+  t.true(repeats <= bound, `${repeats} of ${bound}`);
+});
--- a/src/core/resend_budget.ts
+++ b/src/core/resend_budget.ts
@@ -1,5 +1,9 @@
-/** Part of the ratio and of the slack that one daemon uses. */
-const SAFE_SHARE = 0.8;
+/**
+ * Part of the ratio and of the slack that is used for resends. The calls of a
+ * repeated run count as repeats at the service that it calls, and nobody sees
+ * there which calls those are; the rest is left for them.
+ */
+const SAFE_SHARE = 0.4;
 
 /** Part of the full reserve that a daemon has when it starts. */
 const START_SHARE = 0.3;
