--- /dev/null
+++ b/__tests__/explain.test.ts
@@ -0,0 +1,43 @@
+import test from 'ava';
+import {explainRequest, formatStory, parseDecisions} from '../src/internal.js';
+
+function line(id: string, decision: string, time: string, fields: object) {
+  const common = {name: 'berylbend', id, hostname: 'h', pid: 1, level: 30};
+  return JSON.stringify({...common, decision, ...fields, msg: '', time, v: 0});
+}
+
+const entryLog = [
+  line('e', 'configInForce', '10:00:00', {version: 7, before: 4}),
+  line('e', 'request', '10:00:01', {request: 'other', outcome: 'answered'}),
+  line('e', 'resend', '10:00:02', {request: 'r', upstream: 'u1', code: 'X'}),
+  line('e', 'request', '10:00:03', {request: 'r', upstream: 'u2', status: 503}),
+].join('\n');
+
+// The clock of the second owner is an hour ahead, that of the first one behind.
+const ownerLogs = [
+  line('o2', 'ownerRefused', '11:00:00', {
+    request: 'r',
+    upstream: 'u2',
+    outcome: 'full',
+  }),
+  line('o1', 'upstreamDown', '09:00:00', {}),
+  line('o1', 'upstreamBroke', '09:00:01', {request: 'r', upstream: 'u1'}),
+].join('\n');
+
+test('causes come before reactions, whatever the clocks say', t => {
+  const lines = [...parseDecisions(ownerLogs), ...parseDecisions(entryLog)];
+  const story = explainRequest(lines, 'r');
+  t.deepEqual(
+    story?.lines.map(({id, decision}) => `${id} ${decision}`),
+    ['o1 upstreamBroke', 'e resend', 'o2 ownerRefused', 'e request'],
+  );
+  if (story) t.snapshot(formatStory(story));
+});
+
+test('an unknown id has no story; foreign lines are skipped', t => {
+  const text = `noise\n  12.5 e ${entryLog.split('\n')[1]}\n{"broken":`;
+  const lines = parseDecisions(text);
+  t.is(lines.length, 1);
+  t.truthy(explainRequest(lines, 'other'));
+  t.is(explainRequest(lines, 'r'), undefined);
+});
--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,36 @@
+import {Args, Flags} from '@oclif/core';
+import {readText} from '../../daemon/settings.js';
+import {explainRequest, formatStory, parseDecisions} from '../../internal.js';
+import {BaseCommand, EXIT, outFlag} from '../base.js';
+
+/** Tells the story of one request from the logs of the daemons. */
+export class ExplainCommand extends BaseCommand {
+  static override description =
+    'Print what all daemons decided about a request, causes first. Exit ' +
+    'codes: 0 shown, 1 no line has the id.';
+  static override examples = [
+    '<%= config.bin %> explain 9c41d07be2a35f68 --log d1.log --log d2.log',
+  ];
+  static override args = {
+    request: Args.string({required: true, description: 'id of the request'}),
+  };
+  static override flags = {
+    log: Flags.string({
+      required: true,
+      multiple: true,
+      description: 'log file of one or several daemons; repeat for each file',
+    }),
+    out: outFlag,
+  };
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(ExplainCommand);
+    const lines = flags.log.flatMap(file => parseDecisions(readText(file)));
+    const story = explainRequest(lines, args.request);
+    if (!story) {
+      this.logToStderr(`no line has the request id ${args.request}`);
+      this.exit(EXIT.invalid);
+    }
+    this.write(formatStory(story), flags.out);
+  }
+}
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -5,6 +5,7 @@
   ConfigSnapshotCommand,
 } from './commands/config.js';
 import {DaemonCommand} from './commands/daemon.js';
+import {ExplainCommand} from './commands/explain.js';
 import {
   DcBringBackCommand,
   DcTakeOutCommand,
@@ -20,6 +21,7 @@
   'config:show': ConfigShowCommand,
   'config:snapshot': ConfigSnapshotCommand,
   daemon: DaemonCommand,
+  explain: ExplainCommand,
   'dc:bring-back': DcBringBackCommand,
   'dc:take-out': DcTakeOutCommand,
   'patch:check': PatchCheckCommand,
--- /dev/null
+++ b/src/core/explain.ts
@@ -0,0 +1,133 @@
+/** One line of a daemon's decision log. */
+export interface DecisionLine {
+  /** Daemon that wrote the line. */
+  readonly id: string;
+  readonly decision: string;
+  /** All other fields. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Fields that every line has and that say nothing of the decision. */
+const COMMON_FIELDS = new Set([
+  'name',
+  'id',
+  'hostname',
+  'pid',
+  'level',
+  'decision',
+  'msg',
+  'v',
+]);
+
+/** Decisions that change what a process believes; they give the context. */
+const CONTEXT_DECISIONS = new Set([
+  'configInForce',
+  'ejected',
+  'learnedFromPeer',
+  'linesDropped',
+  'sourceLost',
+  'sourceRecovered',
+  'started',
+  'stopping',
+  'takeOutChanged',
+  'upstreamDown',
+  'upstreamUp',
+]);
+
+/** Context lines shown before the lines of the request, per daemon. */
+const MAX_CONTEXT = 4;
+
+/**
+ * Reads the lines of a log; text before the first brace, such as the prefix of
+ * a collector, and lines of other kinds are skipped.
+ */
+export function parseDecisions(text: string): DecisionLine[] {
+  return text.split('\n').flatMap(line => parseLine(line) ?? []);
+}
+
+function parseLine(line: string): DecisionLine | undefined {
+  const start = line.indexOf('{');
+  if (start < 0) return undefined;
+  let value: Record<string, unknown>;
+  try {
+    value = JSON.parse(line.slice(start)) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+  const {id, decision} = value;
+  if (typeof id !== 'string' || typeof decision !== 'string') return undefined;
+  const own = Object.entries(value).filter(([key]) => !COMMON_FIELDS.has(key));
+  return {id, decision, fields: Object.fromEntries(own)};
+}
+
+/** Story of one request. */
+export interface Story {
+  /** Lines of the request over all daemons, causes first. */
+  readonly lines: DecisionLine[];
+  /** Changes of state that its daemons had seen before, by daemon. */
+  readonly context: ReadonlyMap<string, DecisionLine[]>;
+}
+
+/**
+ * Tells the story of a request; undefined when no line has its id. Lines of one
+ * daemon keep their order. A line of an upstream's daemon comes before the line
+ * in which the entry reacts to that upstream, whatever their clocks say.
+ */
+export function explainRequest(
+  lines: readonly DecisionLine[],
+  requestId: string,
+): Story | undefined {
+  const own = lines.filter(line => line.fields.request === requestId);
+  if (own.length === 0) return undefined;
+  const isEntryLine = ({decision}: DecisionLine) =>
+    decision === 'request' || decision === 'resend';
+  const entryLines = own.filter(isEntryLine);
+  const rest = own.filter(line => !isEntryLine(line));
+  const ordered: DecisionLine[] = [];
+  for (const line of entryLines) {
+    const final = line.decision === 'request';
+    const causes = rest.filter(
+      other => final || other.fields.upstream === line.fields.upstream,
+    );
+    for (const cause of causes) rest.splice(rest.indexOf(cause), 1);
+    ordered.push(...causes, line);
+  }
+  ordered.push(...rest);
+  return {lines: ordered, context: findContext(lines, requestId)};
+}
+
+function findContext(
+  lines: readonly DecisionLine[],
+  requestId: string,
+): Map<string, DecisionLine[]> {
+  const context = new Map<string, DecisionLine[]>();
+  const recent = new Map<string, DecisionLine[]>();
+  for (const line of lines) {
+    if (line.fields.request === requestId) {
+      const before = recent.get(line.id) ?? [];
+      if (!context.has(line.id)) context.set(line.id, [...before]);
+    }
+    if (!CONTEXT_DECISIONS.has(line.decision)) continue;
+    const kept = [...(recent.get(line.id) ?? []), line].slice(-MAX_CONTEXT);
+    recent.set(line.id, kept);
+  }
+  return context;
+}
+
+/** Formats a story as text, one line a decision. */
+export function formatStory(story: Story): string {
+  const context = [...story.context].flatMap(([id, lines]) =>
+    lines.length > 0 ? [`before, at ${id}:`, ...lines.map(formatLine)] : [],
+  );
+  return [...context, 'the request:', ...story.lines.map(formatLine)].join(
+    '\n',
+  );
+}
+
+function formatLine({id, decision, fields}: DecisionLine): string {
+  const {time} = fields;
+  const detail = Object.entries(fields)
+    .filter(([key]) => key !== 'time' && key !== 'request')
+    .map(([key, value]) => `${key}=${String(value)}`);
+  return `  ${String(time ?? '-')} ${id} ${decision} ${detail.join(' ')}`;
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -40,6 +40,7 @@
 export * from './core/balance.js';
 export * from './core/resend_budget.js';
 export * from './core/gate.js';
+export * from './core/explain.js';
 export * from './core/store_mirror.js';
 export * from './core/store_watch.js';
 export * from './core/staleness.js';
