--- /dev/null
+++ b/src/sidecar/finish.ts
@@ -0,0 +1,138 @@
+import {recordLatency} from '../daemon/metrics.js';
+import {OUTCOMES, type Outcome, count, formatReason} from '../internal.js';
+import type {SidecarBoard} from './board.js';
+import type {EntryState, Exchange} from './exchange.js';
+import {copyAnswerHeaders} from './header_copy.js';
+import type {HttpAnswer} from './http_client.js';
+
+/** Shortest time after which a refused customer is asked to come back, ms. */
+const MIN_RETRY_AFTER_MS = 50;
+
+/** Longest time after which a refused customer is asked to come back, ms. */
+const MAX_RETRY_AFTER_MS = 1_000;
+
+/** Time after which a request that had no upstream may find one, ms. */
+const NO_UPSTREAM_RETRY_MS = 300;
+
+/** Ends a request for which no further upstream is left. */
+export function finishUnserved(state: EntryState, exchange: Exchange): void {
+  const {failure, outcome} = exchange;
+  if (failure) return finishAnswered(state, exchange, failure);
+  const {board} = state;
+  const listed = board.list.byService.get(exchange.service) ?? [];
+  const some = listed.some(
+    ({state, dataCentre}) =>
+      state === 'live' && !board.list.takenOut.has(dataCentre),
+  );
+  finishRefused(state, exchange, outcome ?? (some ? 'full' : 'noUpstream'));
+}
+
+/** Passes an upstream's answer on to the customer. */
+export function finishAnswered(
+  state: EntryState,
+  exchange: Exchange,
+  {status, headers, body, framed}: HttpAnswer,
+): void {
+  if (exchange.over) return;
+  exchange.over = true;
+  const {req, res} = exchange;
+  const copy = copyAnswerHeaders(headers);
+  const bodiless = req.method === 'HEAD' || status === 204 || status === 304;
+  if (!framed) {
+    // The customer learns the end of the body as this daemon did.
+    copy.connection = 'close';
+    res.useChunkedEncodingByDefault = false;
+  } else if (!bodiless) copy['content-length'] = String(body.length);
+  else if (headers['content-length'] !== undefined) {
+    copy['content-length'] = headers['content-length'];
+  }
+  res.writeHead(status, copy);
+  res.end(body);
+  count(state.board, 'entry_answered');
+  const elapsedMs = state.board.now() - exchange.startedAt;
+  recordLatency(state.board.metrics, 'answers', elapsedMs);
+  logRequest(state, exchange, 'answered', status);
+}
+
+/** Ends a request with a refusal that says truthfully whether it may have run. */
+export function finishRefused(
+  state: EntryState,
+  exchange: Exchange,
+  outcome: Outcome,
+): void {
+  if (exchange.over) return;
+  exchange.over = true;
+  const {board} = state;
+  const {res, req} = exchange;
+  const {status} = OUTCOMES[outcome];
+  const headers: Record<string, string> = {'content-length': '0'};
+  if (status === 503) {
+    headers['retry-after'] = computeRetryAfter(board, exchange);
+  }
+  count(board, `entry_refused_${outcome}`);
+  logRequest(state, exchange, outcome, status);
+  // An unread body would be taken for the next request.
+  if (!req.complete) headers.connection = 'close';
+  res.writeHead(status, headers);
+  res.end();
+  if (!req.complete) req.resume();
+}
+
+/** Time after which there may be room, s with fractions. */
+function computeRetryAfter(board: SidecarBoard, exchange: Exchange): string {
+  const {retryAfterMs, deadlineAt} = exchange;
+  const hint = Number.isFinite(retryAfterMs)
+    ? retryAfterMs
+    : NO_UPSTREAM_RETRY_MS;
+  // Spread, so that refused customers do not come back all at once.
+  const spread = hint * (1 + board.random());
+  const leftMs = Math.max(0, deadlineAt - board.now());
+  const longest = Math.max(
+    MIN_RETRY_AFTER_MS,
+    Math.min(MAX_RETRY_AFTER_MS, leftMs / 3),
+  );
+  const ms = Math.min(longest, Math.max(MIN_RETRY_AFTER_MS, spread));
+  return (ms / 1_000).toFixed(3);
+}
+
+/** Writes the line of a resend. */
+export function logRetry(
+  {board}: EntryState,
+  exchange: Exchange,
+  reason: string,
+  code: string,
+): void {
+  board.log.write('notable', 'resend', {
+    request: exchange.id,
+    route: exchange.route?.name,
+    upstream: exchange.upstream,
+    reason,
+    code,
+    arrivals: exchange.arrivals,
+  });
+}
+
+/** Writes the line of a request that has ended; `cancelled` by its customer. */
+export function logRequest(
+  {board}: EntryState,
+  exchange: Exchange,
+  outcome: Outcome | 'cancelled',
+  status: number,
+): void {
+  const {route, startedAt, limitAt} = exchange;
+  const now = board.now();
+  const routine = outcome === 'answered' && status < 500;
+  board.log.write(routine ? 'routine' : 'notable', 'request', {
+    request: exchange.id,
+    outcome: formatReason(outcome as Outcome),
+    status,
+    route: route?.name,
+    service: exchange.service,
+    version: exchange.version,
+    upstream: exchange.upstream,
+    offers: exchange.offers,
+    arrivals: exchange.arrivals,
+    ms: Math.round(now - startedAt),
+    leftMs: Number.isFinite(limitAt) ? Math.round(limitAt - now) : undefined,
+  });
+}
--- /dev/null
+++ b/src/sidecar/head.ts
@@ -0,0 +1,84 @@
+import {
+  type Outcome,
+  type RouteTable,
+  chooseService,
+  creditRequest,
+  findRoute,
+} from '../internal.js';
+import type {EntryState, Exchange} from './exchange.js';
+import {copyRawHeaders, readOne} from './header_copy.js';
+import {readWholeBody} from './inbound.js';
+
+/** Time kept for the way of the answer to the customer, ms. */
+const ANSWER_MARGIN_MS = 20;
+
+/** Part of a short deadline that is kept for the way of the answer. */
+const ANSWER_MARGIN_SHARE = 0.1;
+
+/** Part of the memory of a process that request bodies may take. */
+const BODY_MEMORY_SHARE = 0.15;
+
+/** Checks the head and sets what follows from the route. */
+export function checkHead(
+  {board}: EntryState,
+  exchange: Exchange,
+  table: RouteTable,
+): Outcome | undefined {
+  const {req} = exchange;
+  const {headers, rawHeaders} = req;
+  let headerBytes = (req.url ?? '').length;
+  for (const text of rawHeaders) headerBytes += text.length + 2;
+  if (headerBytes > table.config.limits.headerBytes) return 'tooLarge';
+  if (exchange.id === '') return 'badRequest';
+  const target = req.url ?? '';
+  const route = findRoute(table, headers.host ?? '', target);
+  exchange.version = table.config.version;
+  if (!route) return 'unknownRoute';
+  exchange.route = route;
+  const {names, settings} = board;
+  const deadlineMs = Number(readOne(headers, names.deadlineMs) ?? NaN);
+  const askedMs = Number.isFinite(deadlineMs) ? deadlineMs : route.timeoutMs;
+  const marginMs = Math.min(ANSWER_MARGIN_MS, askedMs * ANSWER_MARGIN_SHARE);
+  const limitMs = Math.min(route.timeoutMs, askedMs - marginMs);
+  const {startedAt} = exchange;
+  exchange.goalAt = startedAt + route.goalMs - marginMs;
+  exchange.limitAt = startedAt + limitMs;
+  exchange.deadlineAt = startedAt + askedMs - marginMs;
+  exchange.headers = copyRawHeaders(rawHeaders, headers.connection, [
+    names.caller,
+    names.deadlineMs,
+    names.expectedUpstream,
+  ]);
+  exchange.headers.push(names.caller, settings.service);
+  exchange.service = chooseService(board.splits, route, board.random);
+  creditRequest(board.resends, exchange.service, board.list.byId.size);
+  return undefined;
+}
+
+/** Reads the body within the limits of the configuration and of the memory;
+ * returns an outcome when it is too large. */
+export async function receiveBody(
+  state: EntryState,
+  exchange: Exchange,
+  limitBytes: number,
+): Promise<Buffer | undefined | Outcome> {
+  const {req} = exchange;
+  const declared = Number(req.headers['content-length'] ?? 0);
+  if (declared > limitBytes) return 'tooLarge';
+  const {memoryMb} = state.board.settings;
+  const room = memoryMb * 1_048_576 * BODY_MEMORY_SHARE - state.bodyBytes;
+  if (declared > room) return 'full';
+  let body: Buffer | undefined;
+  try {
+    body = await readWholeBody(req, Math.min(limitBytes, room));
+  } catch {
+    // The customer has gone; the close of the answer ends the exchange.
+    exchange.over = true;
+    return undefined;
+  }
+  if (body === undefined && req.headers['transfer-encoding']) {
+    return 'tooLarge';
+  }
+  state.bodyBytes += body?.length ?? 0;
+  return body;
+}
--- /dev/null
+++ b/src/sidecar/offer.ts
@@ -0,0 +1,216 @@
+import {
+  type ListedUpstream,
+  type MeshRoute,
+  chooseTarget,
+  combineOutcomes,
+  count,
+  ejectTarget,
+  holdTarget,
+  noteFull,
+  noteTargetEnd,
+  noteTargetSend,
+  takeResend,
+} from '../internal.js';
+import type {SidecarBoard} from './board.js';
+import {type EntryState, type Exchange, MAX_OFFERS} from './exchange.js';
+import {finishAnswered, finishRefused, logRetry} from './finish.js';
+import type {ForwardReply, ForwardRequest} from './forward.js';
+import {sendForward} from './hop.js';
+import type {HttpAnswer} from './http_client.js';
+
+/** A resend needs this much of the usual running time, ms at least. */
+const MIN_RESEND_MS = 20;
+
+/** Time without requests for a daemon that says it is leaving, ms. */
+const LEAVING_HOLD_MS = 1_500;
+
+/** Bytes of request and answer above which data centres are not changed for
+ * a little time: the way between them is what costs most. */
+const HEAVY_BYTES = 4_096;
+
+/** Weight of the newest size in the mean of a route. */
+const BYTES_GAIN = 0.1;
+
+/** Chooses the upstream of the next offer; undefined when none is left. */
+export function pickUpstream(
+  {board}: EntryState,
+  exchange: Exchange,
+): ListedUpstream | undefined {
+  if (exchange.offers >= MAX_OFFERS) return undefined;
+  return chooseTarget(
+    board.balance,
+    board.list.byService.get(exchange.service) ?? [],
+    {
+      dataCentre: board.settings.dataCentre,
+      takenOut: board.list.takenOut,
+      tried: exchange.tried,
+      rank: exchange.route?.rank ?? 0,
+      heavy: isHeavy(board, exchange.route),
+    },
+    board.random,
+    board.now(),
+  );
+}
+
+/** True when the requests and answers of a route are large on average. */
+function isHeavy(board: SidecarBoard, route: MeshRoute | undefined): boolean {
+  return (board.routeBytes.get(route?.name ?? '') ?? 0) > HEAVY_BYTES;
+}
+
+function noteBytes(
+  board: SidecarBoard,
+  exchange: Exchange,
+  answer: HttpAnswer,
+): void {
+  const name = exchange.route?.name ?? '';
+  const bytes = (exchange.body?.length ?? 0) + answer.body.length;
+  const known = board.routeBytes.get(name) ?? bytes;
+  board.routeBytes.set(name, known + BYTES_GAIN * (bytes - known));
+}
+
+/** Offers the request to the daemon beside an upstream and awaits the end. */
+export async function offer(
+  state: EntryState,
+  exchange: Exchange,
+  upstream: ListedUpstream,
+): Promise<ForwardReply> {
+  const {board, owner, client} = state;
+  const {route, req, goalAt, limitAt} = exchange;
+  const now = board.now();
+  const request: ForwardRequest = {
+    requestId: exchange.id,
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    headers: exchange.headers,
+    body: exchange.body,
+    upstreamId: upstream.id,
+    route: route?.name ?? '',
+    rank: route?.rank ?? 0,
+    goalMs: goalAt - now,
+    limitMs: limitAt - now,
+    fingerprint: exchange.fingerprint,
+  };
+  exchange.tried.add(upstream.id);
+  exchange.offers++;
+  exchange.upstream = upstream.id;
+  noteTargetSend(board.balance, upstream.id);
+  const {settings} = board;
+  const own =
+    upstream.host === settings.upstream.host &&
+    upstream.port === settings.upstream.port;
+  exchange.call = own
+    ? owner.submit(request)
+    : sendForward(client, upstream, settings.peerPort, request, now);
+  const reply = await exchange.call.result;
+  exchange.call = undefined;
+  noteTargetEnd(board.balance, upstream.id, reply.report, board.now());
+  return reply;
+}
+
+/** Takes in the end of an attempt; returns true when the request is over. */
+export function takeReply(
+  state: EntryState,
+  exchange: Exchange,
+  upstream: ListedUpstream,
+  reply: ForwardReply,
+  suspect: boolean,
+): boolean {
+  const {board} = state;
+  const now = board.now();
+  switch (reply.kind) {
+    case 'answer':
+      exchange.arrivals++;
+      noteBytes(board, exchange, reply.answer);
+      if (reply.answer.status < 500 || !canResend(state, exchange, suspect)) {
+        finishAnswered(state, exchange, reply.answer);
+        return true;
+      }
+      exchange.failure = reply.answer;
+      logRetry(state, exchange, 'answered', String(reply.answer.status));
+      return false;
+    case 'unsent':
+      noteUnreachable(state, upstream, reply.code, now);
+      exchange.outcome = combineOutcomes(exchange.outcome, 'connectFailed');
+      return false;
+    case 'refused':
+      return takeRefusal(state, exchange, upstream, reply, suspect);
+    case 'broken':
+      if (reply.report === undefined) {
+        noteUnreachable(state, upstream, reply.code, now);
+      }
+      exchange.arrivals++;
+      exchange.outcome = reply.outcome;
+      if (!canResend(state, exchange, suspect)) {
+        finishRefused(state, exchange, reply.outcome);
+        return true;
+      }
+      logRetry(state, exchange, reply.outcome, reply.code);
+      return false;
+    case 'aborted':
+      return true;
+  }
+}
+
+function takeRefusal(
+  state: EntryState,
+  exchange: Exchange,
+  upstream: ListedUpstream,
+  reply: Extract<ForwardReply, {kind: 'refused'}>,
+  suspect: boolean,
+): boolean {
+  const {board} = state;
+  const {outcome, arrived, retryAfterMs} = reply;
+  exchange.outcome = combineOutcomes(exchange.outcome, outcome);
+  if (retryAfterMs > 0) {
+    exchange.retryAfterMs = Math.min(exchange.retryAfterMs, retryAfterMs);
+  }
+  if (outcome === 'leaving' || outcome === 'wrongOwner') {
+    holdTarget(board.balance, upstream.id, LEAVING_HOLD_MS, board.now());
+  } else if (outcome === 'full' || outcome === 'cold') {
+    const rank = exchange.route?.rank ?? 0;
+    noteFull(board.balance, upstream.id, rank, retryAfterMs, board.now());
+  } else if (outcome === 'upstreamDown') {
+    ejectTarget(board.balance, upstream.id, board.now());
+  }
+  if (!arrived) return false;
+  exchange.arrivals++;
+  if (canResend(state, exchange, suspect, true)) return false;
+  finishRefused(state, exchange, exchange.outcome);
+  return true;
+}
+
+function noteUnreachable(
+  {board}: EntryState,
+  upstream: ListedUpstream,
+  code: string,
+  now: number,
+): void {
+  const ms = ejectTarget(board.balance, upstream.id, now);
+  if (ms === 0) return;
+  count(board, 'entry_ejections');
+  board.log.write('notable', 'ejected', {
+    upstream: upstream.id,
+    host: upstream.host,
+    code,
+    ms,
+  });
+}
+
+/** True when the request may go to one more upstream; takes it from the budget. */
+function canResend(
+  {board}: EntryState,
+  exchange: Exchange,
+  suspect: boolean,
+  notRun = false,
+): boolean {
+  const {route, arrivals, limitAt, offers} = exchange;
+  if (!route || suspect || !(route.repeatable || notRun)) return false;
+  if (arrivals >= route.attempts || offers >= MAX_OFFERS) return false;
+  if (limitAt - board.now() < MIN_RESEND_MS) return false;
+  if (!takeResend(board.resends, exchange.service)) {
+    count(board, 'entry_resends_denied');
+    return false;
+  }
+  count(board, 'entry_resends');
+  return true;
+}
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -1,32 +1,35 @@
-import type {IncomingHttpHeaders} from 'node:http';
+import {recordLatency} from '../daemon/metrics.js';
 import {
+  type GateResult,
+  type GateWork,
+  type LoadReport,
+  type Outcome,
   admit,
   count,
   findByAddress,
-  flushWaiting,
   isGateCold,
   noteFinished,
-  pump,
   release,
   setCold,
   setColdRate,
   withdraw,
-  type GateResult,
-  type GateWork,
-  type LoadReport,
-  type Outcome,
 } from '../internal.js';
-import {recordLatency} from '../daemon/metrics.js';
-import {findOwnUpstream, type SidecarBoard} from './board.js';
+import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {readOne} from './header_copy.js';
 import {
-  createHttpClient,
   type HttpAnswer,
   type HttpCall,
-  type HttpClient,
   type HttpResult,
+  createHttpClient,
 } from './http_client.js';
+import {
+  type OwnerState,
+  noteBreak,
+  noteRestart,
+  schedulePump,
+  startHealthCheck,
+} from './upstream_health.js';
 
 /** Longest wait for a connection to the upstream on the same instance, ms. */
 const CONNECT_MS = 500;
@@ -37,19 +40,9 @@
  */
 const KEEP_ALIVE_MS = 3_000;
 
-/** Time for the answer of a health check, ms. */
-const HEALTH_MS = 1_500;
-
-/** Pause between health checks while the upstream does not answer, ms. */
-const HEALTH_RETRY_MS = 300;
-
 /** Time that the entry needs to pass on a refusal before its deadline, ms. */
 const REFUSAL_MARGIN_MS = 15;
 
-/** Health checks in a row without the answer of an upstream that is taken as
- * merely busy; after them requests are let through at the cold rate. */
-const MAX_CHECKS = 40;
-
 /** Access to the upstream beside the daemon. */
 export interface Owner {
   /** Admits a request and sends it to the upstream at most once. */
@@ -62,23 +55,6 @@
   stop(): Promise<void>;
 }
 
-interface OwnerState {
-  readonly board: SidecarBoard;
-  readonly client: HttpClient;
-  readonly reportCrash: (fingerprints: string[]) => void;
-  readonly running: Set<ForwardRequest>;
-  active: number;
-  checking: boolean;
-  stopped: boolean;
-  /** Incarnation whose health is known. */
-  bornAt: number;
-  /** True while the data centre is taken out. */
-  out: boolean;
-  /** True once the health of the upstream has been asked for. */
-  asked: boolean;
-  pumpTimer?: NodeJS.Timeout;
-}
-
 /** Creates the owner of the upstream beside the daemon. */
 export function createSidecarOwner(
   board: SidecarBoard,
@@ -157,12 +133,6 @@
   schedulePump(state);
 }
 
-function noteRestart(state: OwnerState): void {
-  const {board} = state;
-  setCold(board.gate, Infinity, board.now());
-  startHealthCheck(state, 'restart');
-}
-
 /** Reasons not to take a request at all. */
 function judgeArrival(
   state: OwnerState,
@@ -373,124 +343,3 @@
     goalMs: Math.round(request.goalMs),
   });
 }
-
-/** Takes a broken exchange as a sign that the upstream may have restarted. */
-function noteBreak(
-  state: OwnerState,
-  request: ForwardRequest,
-  code: string,
-  written: boolean,
-): void {
-  const {board} = state;
-  count(board, 'owner_broken');
-  board.log.write('notable', 'upstreamBroke', {
-    request: request.requestId,
-    upstream: request.upstreamId,
-    code,
-    written,
-    inFlight: board.gate.inFlight,
-  });
-  const suspects = [...state.running].map(item => item.fingerprint);
-  if (written) suspects.push(request.fingerprint);
-  if (!isGateCold(board.gate, board.now())) {
-    setCold(board.gate, Infinity, board.now());
-  }
-  startHealthCheck(state, code, suspects);
-}
-
-/**
- * Asks the upstream for its health until it answers, and learns how long it
- * stays cold. Its word on being healthy is not used: requests show that.
- */
-function startHealthCheck(
-  state: OwnerState,
-  cause: string,
-  suspects: string[] = [],
-): void {
-  if (state.checking || state.stopped) return;
-  state.checking = true;
-  state.board.log.write('notable', 'healthCheck', {cause});
-  void checkHealth(state, suspects).finally(() => {
-    state.checking = false;
-    schedulePump(state);
-  });
-}
-
-async function checkHealth(
-  state: OwnerState,
-  suspects: string[],
-): Promise<void> {
-  const {board} = state;
-  let crashed = suspects;
-  for (let checks = 0; checks < MAX_CHECKS && !state.stopped; checks++) {
-    const headers = await askHealth(state);
-    if (headers) {
-      noteHealth(state, headers);
-      return;
-    }
-    if (!board.gate.down) {
-      board.gate.down = true;
-      board.log.write('always', 'upstreamDown', {});
-      flushWaiting(board.gate, 'upstreamDown');
-      if (crashed.length > 0) state.reportCrash([...new Set(crashed)]);
-      crashed = [];
-    }
-    await new Promise(resolve => setTimeout(resolve, HEALTH_RETRY_MS));
-  }
-  board.gate.down = false;
-}
-
-/** Headers of the health answer; undefined without an answer. */
-async function askHealth(
-  state: OwnerState,
-): Promise<IncomingHttpHeaders | undefined> {
-  const {board, client} = state;
-  const {settings, table} = board;
-  const {host, port} = settings.upstream;
-  const own = findOwnUpstream(board);
-  const service = table?.services.get(own?.service ?? settings.service);
-  // The path is part of the configuration; without one there is no traffic.
-  if (!service) return undefined;
-  count(board, 'health_checks');
-  const request = {
-    method: 'GET',
-    path: service.healthPath,
-    headers: [],
-    body: undefined,
-  };
-  const call = client.send(`http://${host}:${port}`, request, board.now());
-  const timer = setTimeout(() => call.abort(), HEALTH_MS);
-  const result = await call.result;
-  clearTimeout(timer);
-  return result.kind === 'answer' ? result.answer.headers : undefined;
-}
-
-function noteHealth(state: OwnerState, headers: IncomingHttpHeaders): void {
-  const {board} = state;
-  const now = board.now();
-  const coldMs = Number(readOne(headers, board.names.coldMs) ?? 0);
-  const own = findOwnUpstream(board);
-  const listedMs = own ? own.coldUntil - now : 0;
-  const forMs = Math.max(Number.isFinite(coldMs) ? coldMs : 0, listedMs, 0);
-  setCold(board.gate, forMs, now);
-  const wasDown = board.gate.down;
-  board.gate.down = false;
-  board.log.write('always', 'upstreamUp', {
-    coldMs: Math.round(forMs),
-    wasDown,
-    upstream: readOne(headers, board.names.upstreamId),
-  });
-}
-
-function schedulePump(state: OwnerState): void {
-  const {board} = state;
-  const waitMs = pump(board.gate, board.now());
-  if (waitMs === undefined || state.pumpTimer) return;
-  state.pumpTimer = setTimeout(
-    () => {
-      state.pumpTimer = undefined;
-      schedulePump(state);
-    },
-    Math.max(1, Math.ceil(waitMs)),
-  );
-}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,40 +1,33 @@
-import {randomInt} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
-import type {Duplex} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
-import polka from 'polka';
 import {
+  type CrashReport,
+  type HeaderNames,
+  type KeyChange,
+  type KeyValueStore,
+  LAG_WINDOW_MS,
+  type MeshConfig,
+  type SidecarSettings,
+  type StoreMirror,
+  type StoreNews,
+  type StoreWatch,
   count,
+  createMirror,
   createRandom,
   createRouteTable,
   expireUpstreams,
-  isGateCold,
-  LAG_WINDOW_MS,
-  createMirror,
   noteListFault,
-  startStoreWatch,
-  type KeyChange,
-  type KeyValueStore,
-  type StoreMirror,
-  type StoreWatch,
   pruneSplits,
   pruneTargets,
   putUpstream,
   removeUpstream,
-  type CrashReport,
-  type HeaderNames,
-  type MeshConfig,
-  type SidecarSettings,
-  type StoreNews,
+  startStoreWatch,
 } from '../internal.js';
-import {renderMetrics} from '../daemon/metrics.js';
 import {
+  type SidecarBoard,
   createSidecarBoard,
   findOwnUpstream,
-  isSidecarReady,
-  type SidecarBoard,
 } from './board.js';
-import {createDecisionLog, type DecisionLog} from './decision_log.js';
+import {type DecisionLog, createDecisionLog} from './decision_log.js';
 import {createSidecarEntry} from './entry.js';
 import {createHttpClient} from './http_client.js';
 import {
@@ -45,6 +38,16 @@
 } from './inbound.js';
 import {createSidecarOwner} from './owner.js';
 import {startPeerSync} from './peer_sync.js';
+import {
+  answerClientError,
+  closePort,
+  createMetricsServer,
+  createReadyServer,
+  openPort,
+} from './servers.js';
+import {randomInt} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {Duplex} from 'node:stream';
 
 /** Largest header block that the HTTP parser accepts, bytes; the limit of the
  * configuration is checked after it. */
@@ -317,78 +320,3 @@
   const decision = fault === undefined ? 'sourceRecovered' : 'sourceLost';
   board.log.write('always', decision, {source: prefix, reason: fault});
 }
-
-function createReadyServer(board: SidecarBoard, path: string): Server {
-  const app = polka();
-  app.get(path, (_req, res) => {
-    res.statusCode = isSidecarReady(board) ? 200 : 503;
-    res.end();
-  });
-  return createServer((req, res) => void app.handler(req as never, res));
-}
-
-function createMetricsServer(board: SidecarBoard): Server {
-  const app = polka();
-  app.get('/metrics', (_req, res) => {
-    renderMetrics(board, board.metrics, readGauges(board)).then(
-      text => res.end(text),
-      (err: Error) => {
-        board.log.write('notable', 'metricsError', {error: err.message});
-        res.statusCode = 500;
-        res.end();
-      },
-    );
-  });
-  return createServer((req, res) => void app.handler(req as never, res));
-}
-
-function readGauges(board: SidecarBoard): Record<string, number> {
-  const {gate, list, table} = board;
-  return {
-    config_version: table?.config.version ?? 0,
-    upstreams_listed: list.byId.size,
-    data_centres_out: list.takenOut.size,
-    upstream_slots: gate.slots,
-    upstream_in_flight: gate.inFlight,
-    upstream_queued: gate.waiting.length,
-    upstream_cold: Number(isGateCold(gate, board.now())),
-    upstream_down: Number(gate.down),
-    log_lines_dropped: board.log.countDropped(),
-    ready: Number(isSidecarReady(board)),
-  };
-}
-
-/** Status lines for input that is not a proper request. */
-const CLIENT_ERRORS: Record<string, string> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
-function answerClientError(err: Error, socket: Duplex): void {
-  const {code = ''} = err as NodeJS.ErrnoException;
-  if (!socket.writable || code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status = CLIENT_ERRORS[code] ?? '400 Bad Request';
-  socket.end(
-    `HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`,
-  );
-}
-
-function closePort(server: Server): Promise<void> {
-  return new Promise(resolve => {
-    if (server.listening) server.close(() => resolve());
-    else resolve();
-  });
-}
-
-function openPort(server: Server, port: number, host: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, 511, () => {
-      server.removeListener('error', reject);
-      resolve();
-    });
-  });
-}
