--- /dev/null
+++ b/src/sidecar/news.ts
@@ -0,0 +1,86 @@
+import {
+  count,
+  createRouteTable,
+  pruneSplits,
+  putUpstream,
+  removeUpstream,
+  type MeshConfig,
+  type StoreNews,
+} from '../internal.js';
+import type {SidecarBoard} from './board.js';
+
+type NewsOf<K extends StoreNews['kind']> = Extract<StoreNews, {kind: K}>;
+
+/** What to do for each kind of news. */
+type NewsHandlers = {
+  readonly [K in StoreNews['kind']]: (
+    board: SidecarBoard,
+    news: NewsOf<K>,
+    now: number,
+  ) => void;
+};
+
+const HANDLERS: NewsHandlers = {
+  config: (board, {config}) => takeConfig(board, config),
+  upstream: takeUpstream,
+  upstreamGone(board, {id}, now) {
+    if (!removeUpstream(board.list, id, now)) return;
+    board.log.write('always', 'upstreamGone', {upstream: id});
+  },
+  dataCentre({list, log}, {name, takenOut}) {
+    if (list.takenOut.has(name) === takenOut) return;
+    if (takenOut) list.takenOut.add(name);
+    else list.takenOut.delete(name);
+    log.write('always', 'takeOutChanged', {changed: name, takenOut});
+  },
+  unreadable(board, {key, reason}) {
+    count(board, 'store_unreadable');
+    board.log.write('notable', 'storeUnreadable', {key, reason});
+  },
+};
+
+/** Takes in one piece of news of the platform's store. */
+export function takeNews(
+  board: SidecarBoard,
+  news: StoreNews,
+  now: number,
+): void {
+  const handler = HANDLERS[news.kind] as (
+    board: SidecarBoard,
+    news: StoreNews,
+    now: number,
+  ) => void;
+  handler(board, news, now);
+}
+
+/** Puts a configuration in force; an older one never replaces a newer one. */
+function takeConfig(board: SidecarBoard, config: MeshConfig): void {
+  const {version} = config;
+  const before = board.table?.config.version ?? -1;
+  if (version < before) {
+    count(board, 'config_older');
+    board.log.write('notable', 'configOlder', {version, before});
+  }
+  if (version <= before) return;
+  board.table = createRouteTable(config);
+  pruneSplits(board.splits, board.table);
+  const routes = config.routes.length;
+  board.log.write('always', 'configInForce', {version, before, routes});
+}
+
+function takeUpstream(
+  board: SidecarBoard,
+  {upstream}: NewsOf<'upstream'>,
+  now: number,
+): void {
+  if (!putUpstream(board.list, upstream, now)) return;
+  const {id, service, state, dataCentre, coldMs, bornAt} = upstream;
+  board.log.write('always', 'upstreamListed', {
+    upstream: id,
+    service,
+    state,
+    listedIn: dataCentre,
+    coldMs,
+    bornAt,
+  });
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -5,7 +5,6 @@
   type KeyChange,
   type KeyValueStore,
   LAG_WINDOW_MS,
-  type MeshConfig,
   type SidecarSettings,
   type StoreMirror,
   type StoreNews,
@@ -13,13 +12,9 @@
   count,
   createMirror,
   createRandom,
-  createRouteTable,
   expireUpstreams,
   noteListFault,
-  pruneSplits,
   pruneTargets,
-  putUpstream,
-  removeUpstream,
   startStoreWatch,
 } from '../internal.js';
 import {
@@ -36,6 +31,7 @@
   serveControl,
   takeCrashes,
 } from './inbound.js';
+import {takeNews} from './news.js';
 import {createSidecarOwner} from './owner.js';
 import {startPeerSync} from './peer_sync.js';
 import {
@@ -46,7 +42,7 @@
   openPort,
 } from './servers.js';
 import {randomInt} from 'node:crypto';
-import {createServer} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 
 /** Largest header block that the HTTP parser accepts, bytes; the limit of the
@@ -165,78 +161,18 @@
   const readyServer = createReadyServer(board, deps.readyPath);
   const metricsServer = createMetricsServer(board);
 
-  const takeConfig = (config: MeshConfig): void => {
-    const version = board.table?.config.version ?? -1;
-    if (config.version <= version) {
-      if (config.version < version) {
-        count(board, 'config_older');
-        log.write('notable', 'configOlder', {version: config.version});
-      }
-      return;
-    }
-    board.table = createRouteTable(config);
-    pruneSplits(board.splits, board.table);
-    customerServer.keepAliveTimeout = config.limits.idleTimeoutMs;
-    customerServer.headersTimeout = config.limits.headerTimeoutMs;
-    log.write('always', 'configInForce', {
-      version: config.version,
-      before: version,
-      routes: config.routes.length,
-    });
-  };
   const takeChanges = (mirror: StoreMirror, changes: KeyChange[]): void => {
     const at = now();
     if (mirror.prefix === deps.listPrefix) board.list.complete = true;
     if (changes.length === 0) return;
     for (const {key, value} of changes) {
       const item = deps.decode(key, value);
-      if (item) takeOne(item, at);
+      if (item) takeNews(board, item, at);
     }
     pruneTargets(board.balance, board.list.byId);
     owner.sync();
+    applyLimits(customerServer, board);
   };
-  const handlers: {
-    [K in StoreNews['kind']]: (
-      item: Extract<StoreNews, {kind: K}>,
-      at: number,
-    ) => void;
-  } = {
-    config: ({config}) => takeConfig(config),
-    upstream: ({upstream}, at) => {
-      if (!putUpstream(board.list, upstream, at)) return;
-      const {id, service, state, dataCentre, coldMs, bornAt} = upstream;
-      log.write('always', 'upstreamListed', {
-        upstream: id,
-        service,
-        state,
-        listedIn: dataCentre,
-        coldMs,
-        bornAt,
-      });
-    },
-    upstreamGone: ({id: gone}, at) => {
-      if (!removeUpstream(board.list, gone, at)) return;
-      log.write('always', 'upstreamGone', {upstream: gone});
-    },
-    dataCentre: ({name, takenOut}) => {
-      if (board.list.takenOut.has(name) === takenOut) return;
-      if (takenOut) board.list.takenOut.add(name);
-      else board.list.takenOut.delete(name);
-      log.write('always', 'takeOutChanged', {changed: name, takenOut});
-    },
-    unreadable: ({key, reason}) => {
-      count(board, 'store_unreadable');
-      log.write('notable', 'storeUnreadable', {key, reason});
-    },
-  };
-  const takeOne = (item: StoreNews, at: number): void => {
-    const handler = handlers[item.kind] as (
-      item: StoreNews,
-      at: number,
-    ) => void;
-    handler(item, at);
-  };
-
   await openPort(customerServer, settings.customerPort, settings.host);
   await openPort(peerServer, settings.peerPort, settings.host);
   await openPort(controlServer, settings.controlPort, settings.host);
@@ -307,6 +243,14 @@
   };
 }
 
+/** Sets the times that the configuration allows a customer's connection. */
+function applyLimits(server: Server, {table}: SidecarBoard): void {
+  if (!table) return;
+  const {idleTimeoutMs, headerTimeoutMs} = table.config.limits;
+  server.keepAliveTimeout = idleTimeoutMs;
+  server.headersTimeout = headerTimeoutMs;
+}
+
 /** Notes that a part of the store cannot be read, or can be again. */
 function noteSource(
   board: SidecarBoard,
