--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -237,8 +237,12 @@
       for (const index of [0, 1, 2]) {
         const body = 'poison';
         await rig.send(index, {path: '/read/poison', method: 'POST', body});
+        await until(() =>
+          rig.sidecars.every(
+            ({board}) => board.suspects.byFingerprint.size > 0,
+          ),
+        );
       }
-      await new Promise(resolve => setTimeout(resolve, 100));
     }
     for (const upstream of rig.upstreams) reached += upstream.runs.length;
     t.true(reached <= 3, `${reached} upstreams crashed`);
