Let one daemon of a data centre read the store for the others

Cause: every daemon held two watches of the store, one per prefix, each ending after 2 s.

Change: one watch with the empty prefix covers upstreams and operators' keys. Daemons of a data centre are ranked; the first (one per 32) reads the store, the others ask it with a held question. Its answer carries the time since its copy was known to be current. A follower whose reader is silent, leaving or older than 1.4 s reads the store itself at once, then asks the next one, so no daemon depends on a peer for what it can read itself. Repeated failures of the store are retried at a doubling pause, since refused calls are priced too.

Ruled out: longer watches (a connection that goes silent would hide a configuration for their whole length); one reader for all data centres (bytes between them are the dearest price, and a cut would hit everyone).

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -249,20 +249,31 @@
   },
 );
 
-test.serial('a daemon cut from the store learns from its peers', async t => {
+test.serial('a daemon learns from the reader of its data centre', async t => {
+  const rig = await startRig(t, ['dc1', 'dc1', 'dc1']);
+  const before = rig.store.calls;
+  rig.store.put('op/evacuate/dc2', {});
+  await until(() =>
+    rig.sidecars.every(({board}) => board.list.takenOut.has('dc2')),
+  );
+  t.true(rig.store.calls - before <= 3);
+  const served = rig.sidecars.map(
+    ({board}) => board.counters.get('state_served') ?? 0,
+  );
+  t.true(Math.max(...served) > 0);
+});
+
+test.serial('a daemon that starts without the store asks a peer', async t => {
   const rig = await startRig(t, ['dc1', 'dc2']);
-  const [first, second] = rig.sidecars;
-  const state = rig.sidecars[1].board.mirrors;
-  first.board.lostSources.add('op/');
-  const item = {
-    key: 'op/evacuate/dc2',
-    value: Buffer.from('{}'),
-    revision: 1_000,
-  };
-  state[0].items.set(item.key, item);
-  state[0].revision = 1_000;
-  await until(() => first.board.list.takenOut.has('dc2'));
-  t.false(second.board.list.takenOut.has('dc2'));
+  const {store} = rig;
+  rig.store.put('op/evacuate/dc3', {});
+  await until(() =>
+    rig.sidecars.every(({board}) => board.list.takenOut.has('dc3')),
+  );
+  store.down = true;
+  const late = await rig.startLate('dc2');
+  await until(() => late.board.list.takenOut.has('dc3'));
+  t.true(late.board.list.complete);
 });
 
 test.serial(
--- /dev/null
+++ b/__tests__/store_follow.test.ts
@@ -0,0 +1,273 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test, {type ExecutionContext} from 'ava';
+import {
+  applyMirrorState,
+  createMirror,
+  FRESH_MS,
+  POLL_MS,
+  rankReaders,
+  readMirror,
+  startStoreFollow,
+  STORE_RETRY_MS,
+  WATCH_MS,
+  type KeyChange,
+  type PeerNews,
+  type StoreFollow,
+  type StoreMirror,
+} from '../src/internal.js';
+import {createFakeStore, type FakeStore} from './support/store_fake.js';
+
+/** One daemon that follows the store, with switches for its faults. */
+interface Daemon {
+  readonly name: string;
+  readonly mirror: StoreMirror;
+  readonly known: Map<string, string>;
+  readonly events: string[];
+  follow: StoreFollow;
+  /** While set, the daemon gives no answer, as after a loss of power. */
+  silent: boolean;
+  /** While set, the store is out of its reach; its calls fail only late. */
+  cut: boolean;
+}
+
+/** Time after which a call that the store does not answer fails, ms. */
+const CALL_MS = 500;
+
+/** Starts daemons of one data centre on one store. */
+function startDaemons(
+  t: ExecutionContext,
+  names: readonly string[],
+  store: FakeStore,
+): Daemon[] {
+  const daemons: Daemon[] = [];
+  const wait = (ms: number) =>
+    new Promise<void>(resolve => setTimeout(resolve, ms));
+  const ask = async (
+    address: string,
+    after: number,
+    waitMs: number,
+  ): Promise<PeerNews | undefined> => {
+    const daemon = daemons.find(({name}) => name === address);
+    const endAt = performance.now() + waitMs;
+    while (performance.now() < endAt) {
+      if (daemon && !daemon.silent) {
+        if (readMirror(daemon.mirror, after)) break;
+        if (daemon.follow.readAge() > FRESH_MS) break;
+      }
+      await wait(10);
+    }
+    if (!daemon || daemon.silent) return undefined;
+    const ageMs = daemon.follow.readAge();
+    return {ageMs, state: readMirror(daemon.mirror, after)};
+  };
+  for (const name of names) {
+    const known = new Map<string, string>();
+    const events: string[] = [];
+    const mirror = createMirror('k/');
+    const failWhenCut = async (endAt: number) => {
+      if (!daemon.cut) return;
+      await wait(endAt - performance.now());
+      throw new Error('no answer');
+    };
+    const daemon: Daemon = {
+      name,
+      mirror,
+      known,
+      events,
+      silent: false,
+      cut: false,
+      follow: undefined as unknown as StoreFollow,
+    };
+    daemon.follow = startStoreFollow({
+      store: {
+        ...store,
+        readPage: async (prefix, after) => {
+          await failWhenCut(performance.now() + CALL_MS);
+          return store.readPage(prefix, after);
+        },
+        watch: async (prefix, after, waitMs) => {
+          const endAt = performance.now() + waitMs + CALL_MS;
+          await failWhenCut(endAt);
+          const reply = await store.watch(prefix, after, waitMs);
+          // A connection that is cut while the call waits brings nothing.
+          await failWhenCut(endAt);
+          return reply;
+        },
+      },
+      mirror,
+      peers: {
+        own: name,
+        rank: () => rankReaders('dc', names, name),
+        pickAny: () => names.find(other => other !== name),
+        ask,
+      },
+      onChanges: (changes: KeyChange[]) => {
+        for (const {key, value} of changes) {
+          if (value === undefined) known.delete(key);
+          else known.set(key, value.toString());
+        }
+      },
+      onFault: (err, first) => {
+        if (first) events.push(err.message);
+      },
+      onRecovered: () => events.push('recovered'),
+      onRegained: () => events.push('regained'),
+      onSource: () => undefined,
+      random: () => 0.5,
+      now: () => performance.now(),
+    });
+    t.teardown(() => daemon.follow.stop());
+    daemons.push(daemon);
+  }
+  return daemons;
+}
+
+function makeRig(t: ExecutionContext, count: number, pageSize?: number) {
+  const clock = FakeTimers.install();
+  t.teardown(() => clock.uninstall());
+  const store = createFakeStore(pageSize);
+  const names = Array.from({length: count}, (_, i) => `d${i}`);
+  const ranked = rankReaders('dc', names, 'nobody');
+  const start = () => startDaemons(t, names, store);
+  return {clock, store, ranked, start};
+}
+
+const SLACK_MS = 100;
+
+test.serial('reads all pages and follows changes', async t => {
+  const {clock, store, start} = makeRig(t, 1, 2);
+  for (const name of ['a', 'b', 'c', 'd', 'e']) store.put(`k/${name}`, name);
+  store.put('other/x', 'x');
+  const [{known}] = start();
+  await clock.tickAsync(10);
+  t.is(known.size, 5);
+  store.put('k/f', 'f');
+  store.remove('k/a');
+  await clock.tickAsync(1_000);
+  t.deepEqual([...known.keys()].sort(), ['k/b', 'k/c', 'k/d', 'k/e', 'k/f']);
+});
+
+test.serial('a key that vanished with the history is gone', async t => {
+  const {clock, store, start} = makeRig(t, 1);
+  store.put('k/a', '1');
+  store.put('k/b', '1');
+  const [{known}] = start();
+  await clock.tickAsync(10);
+  store.down = true;
+  store.remove('k/a');
+  store.compact();
+  await clock.tickAsync(1_000);
+  store.down = false;
+  await clock.tickAsync(WATCH_MS + 2 * STORE_RETRY_MS.longest);
+  t.deepEqual([...known.keys()], ['k/b']);
+});
+
+test.serial('an outage is told once and its end once', async t => {
+  const {clock, store, start} = makeRig(t, 1);
+  store.down = true;
+  const [{events}] = start();
+  await clock.tickAsync(5_000);
+  t.true(store.calls <= 5_000 / STORE_RETRY_MS.shortest);
+  store.down = false;
+  store.put('k/a', '1');
+  await clock.tickAsync(STORE_RETRY_MS.longest);
+  t.deepEqual(events, ['store is down', 'recovered', 'regained']);
+});
+
+// Every daemon watched the store itself: at 82 daemons the calls were priced
+// higher than a quarter of all that the mesh serves.
+test.serial('calls hardly grow with the number of daemons', async t => {
+  const {clock, store, start} = makeRig(t, 30);
+  const daemons = start();
+  await clock.tickAsync(1_000);
+  const before = store.calls;
+  for (let i = 0; i < 10; i++) {
+    store.put('k/a', String(i));
+    await clock.tickAsync(1_000);
+    t.true(daemons.every(({known}) => known.get('k/a') === String(i)));
+  }
+  t.true(store.calls - before <= 40, `${store.calls - before} calls`);
+});
+
+for (const fault of ['silent', 'cut'] as const) {
+  // A configuration must be in force 2 s after it was accepted, also when the
+  // daemon that reads the store for others has just lost its power or its way.
+  test.serial(`a change is known in time: reader ${fault}`, async t => {
+    const {clock, store, ranked, start} = makeRig(t, 6);
+    const daemons = start();
+    for (let round = 0; round < 8; round++) {
+      await clock.tickAsync(12_000 + round * 170);
+      const reader = daemons.find(({name}) => name === ranked[0]) as Daemon;
+      reader[fault] = true;
+      await clock.tickAsync(5);
+      store.put('k/a', `round ${round}`);
+      await clock.tickAsync(FRESH_MS + SLACK_MS);
+      for (const daemon of daemons) {
+        if (daemon === reader) continue;
+        t.is(daemon.known.get('k/a'), `round ${round}`, daemon.name);
+      }
+      reader[fault] = false;
+    }
+    t.true(POLL_MS < FRESH_MS);
+  });
+}
+
+test.serial('a daemon that the store refuses follows the others', async t => {
+  const {clock, store, ranked, start} = makeRig(t, 3);
+  const daemons = start();
+  await clock.tickAsync(1_000);
+  const reader = daemons.find(({name}) => name === ranked[0]) as Daemon;
+  reader.cut = true;
+  await clock.tickAsync(5_000);
+  store.put('k/a', '1');
+  await clock.tickAsync(2 * WATCH_MS);
+  t.is(reader.known.get('k/a'), '1');
+  t.true(reader.follow.readAge() <= FRESH_MS + POLL_MS);
+});
+
+test('readers share the daemons of a large data centre', t => {
+  const names = Array.from({length: 81}, (_, i) => `10.0.0.${i}:7620`);
+  const first = names.map(name => rankReaders('dc', names, name)[0]);
+  const readers = names.filter((name, i) => first[i] === name);
+  t.is(readers.length, 3);
+  t.true(first.every(name => readers.includes(name)));
+  for (const reader of readers) {
+    const share = first.filter(name => name === reader).length;
+    t.true(share > 10 && share < 50, `${share} daemons ask one reader`);
+  }
+  t.deepEqual(rankReaders('dc', [], 'x'), []);
+});
+
+// A daemon cut from the store served under a take-out that had ended, and its
+// upstream turned cold meanwhile.
+test('a daemon learns from a peer what is newer, and only that', t => {
+  const mirror = createMirror('k/');
+  const known = new Map<string, string>();
+  const peer = createMirror('k/');
+  const item = (key: string, revision: number) => {
+    return {key, value: Buffer.from(String(revision)), revision};
+  };
+  peer.revision = 20;
+  for (const entry of [item('k/a', 5), item('k/b', 20)]) {
+    peer.items.set(entry.key, entry);
+  }
+  mirror.revision = 10;
+  for (const entry of [item('k/a', 5), item('k/gone', 8)]) {
+    mirror.items.set(entry.key, entry);
+    known.set(entry.key, String(entry.revision));
+  }
+  const state = readMirror(peer, 10);
+  t.deepEqual(
+    state?.items.map(entry => entry.key),
+    ['k/b'],
+  );
+  for (const {key, value} of state ? applyMirrorState(mirror, state) : []) {
+    if (value === undefined) known.delete(key);
+    else known.set(key, value.toString());
+  }
+  t.deepEqual(Object.fromEntries(known), {'k/a': '5', 'k/b': '20'});
+  t.is(readMirror(peer, 20), undefined);
+  peer.revision = 15;
+  const older = readMirror(peer, -1);
+  t.deepEqual(older && applyMirrorState(mirror, older), []);
+});
--- a/__tests__/support/sidecar_rig.ts
+++ b/__tests__/support/sidecar_rig.ts
@@ -11,9 +11,8 @@
 import {
   decodeEntry,
   HEADER_NAMES,
-  OPERATOR_PREFIX,
   READY_PATH,
-  UPSTREAM_PREFIX,
+  STORE_PREFIX,
 } from '../../platform/decode.js';
 import type {SidecarSettings} from '../../src/internal.js';
 import {createDecisionLog} from '../../src/sidecar/decision_log.js';
@@ -63,6 +62,8 @@
   /** Status of the readiness page of a sidecar. */
   readReady(index: number): Promise<number>;
   publish(change?: object): void;
+  /** Starts one more sidecar, which knows the first one as its seed. */
+  startLate(dataCentre: string): Promise<Sidecar>;
 }
 
 /** Answers as a sound upstream does. */
@@ -155,11 +156,17 @@
     });
   }
   const sidecars: Sidecar[] = [];
-  for (const [i, {host, port}] of upstreams.entries()) {
+  const startOne = async (
+    id: string,
+    dataCentre: string,
+    host: string,
+    port: number,
+    seeds: string[],
+  ): Promise<Sidecar> => {
     const [customerPort, peerPort, readyPort, controlPort, metricsPort] = ports;
     const settings: SidecarSettings = {
-      id: `d${i}`,
-      dataCentre: dcs[i],
+      id,
+      dataCentre,
       service: 's',
       host,
       customerPort,
@@ -167,7 +174,7 @@
       readyPort,
       controlPort,
       metricsPort,
-      seeds: [],
+      seeds,
       upstream: {host, port},
       memoryMb: 128,
       graceMs: 2_000,
@@ -177,11 +184,11 @@
       settings,
       names: HEADER_NAMES,
       readyPath: READY_PATH,
-      listPrefix: UPSTREAM_PREFIX,
+      prefix: STORE_PREFIX,
       decode: decodeEntry,
       log: createDecisionLog({
-        id: settings.id,
-        dataCentre: dcs[i],
+        id,
+        dataCentre,
         now: () => performance.now(),
         out: (text, done) => {
           lines.push(...text.trim().split('\n'));
@@ -189,14 +196,15 @@
         },
       }),
     });
-    const watches = [OPERATOR_PREFIX, UPSTREAM_PREFIX].map(prefix =>
-      sidecar.follow(store, prefix),
-    );
+    const following = sidecar.follow(store);
     t.teardown(async () => {
-      for (const watch of watches) watch.stop();
+      following.stop();
       await sidecar.close();
     });
-    sidecars.push(sidecar);
+    return sidecar;
+  };
+  for (const [i, {host, port}] of upstreams.entries()) {
+    sidecars.push(await startOne(`d${i}`, dcs[i], host, port, []));
   }
   t.teardown(() => Promise.all(upstreams.map(upstream => upstream.close())));
   const rig: SidecarRig = {
@@ -205,6 +213,11 @@
     upstreams,
     lines,
     publish,
+    startLate: dataCentre => {
+      const host = `127.77.${(process.pid >> 1) & 127}.${nextHost++}`;
+      const seeds = [`${hosts[0]}:${ports[3]}`];
+      return startOne('late', dataCentre, host, ports[4], seeds);
+    },
     send: (index, options = {}) => sendRequest(hosts[index], ports[0], options),
     readReady: async index => {
       const url = `http://${hosts[index]}:${ports[2]}${READY_PATH}`;
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -42,7 +42,7 @@
 export * from './core/gate.js';
 export * from './core/explain.js';
 export * from './core/store_mirror.js';
-export * from './core/store_watch.js';
+export * from './core/store_follow.js';
 export * from './core/staleness.js';
 export * from './core/dissemination.js';
 export * from './core/instances.js';
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -1,6 +1,7 @@
 import {
   createGate,
   createLoopLag,
+  createMirror,
   createResendBudget,
   createSuspects,
   createUpstreamList,
@@ -29,10 +30,12 @@
   /** Configuration in force; undefined until one is known. */
   table?: RouteTable;
   readonly list: UpstreamList;
-  /** Copies of the store's keys, one per prefix. */
-  readonly mirrors: StoreMirror[];
-  /** Prefixes that the store does not answer for at present. */
-  readonly lostSources: Set<string>;
+  /** Copy of the store's keys. */
+  readonly mirror: StoreMirror;
+  /** Time since the copy was known to be current, ms. */
+  readNewsAge: () => number;
+  /** Answers of this daemon's peers that wait for changes of the copy. */
+  readonly newsWaiters: Set<() => void>;
   readonly balance: BalanceState;
   /** Mean bytes of request and answer by route name. */
   readonly routeBytes: Map<string, number>;
@@ -57,6 +60,8 @@
 export interface BoardDeps {
   readonly settings: SidecarSettings;
   readonly names: HeaderNames;
+  /** Prefix of the store's keys that the daemon follows. */
+  readonly prefix: string;
   readonly log: DecisionLog;
   readonly random: Random;
   readonly now: () => number;
@@ -67,8 +72,9 @@
   return {
     ...deps,
     list: createUpstreamList(),
-    mirrors: [],
-    lostSources: new Set(),
+    mirror: createMirror(deps.prefix),
+    readNewsAge: () => Infinity,
+    newsWaiters: new Set(),
     balance: new Map(),
     routeBytes: new Map(),
     resends: createResendBudget(deps.settings.resends),
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -5,7 +5,7 @@
 import type {SidecarBoard} from './board.js';
 import {readForward, writeReply} from './hop.js';
 import type {Owner} from './owner.js';
-import {serveState, STATE_PATH} from './peer_sync.js';
+import {serveState, STATE_PATH} from './peer_news.js';
 
 /** Path at which a daemon takes reports of crashed upstreams. */
 export const CRASH_PATH = '/.well-known/berylbend/crashes';
--- a/src/sidecar/news.ts
+++ b/src/sidecar/news.ts
@@ -1,13 +1,16 @@
 import {
   count,
   createRouteTable,
+  noteListFault,
   pruneSplits,
   putUpstream,
   removeUpstream,
+  type FollowDeps,
   type MeshConfig,
   type StoreNews,
 } from '../internal.js';
 import type {SidecarBoard} from './board.js';
+import {wakeNewsWaiters} from './peer_news.js';
 
 type NewsOf<K extends StoreNews['kind']> = Extract<StoreNews, {kind: K}>;
 
@@ -84,3 +87,32 @@
     bornAt,
   });
 }
+
+/** Creates the handlers of what happens to the source of news. */
+export function createSourceNotes(
+  board: SidecarBoard,
+): Pick<FollowDeps, 'onFault' | 'onRecovered' | 'onRegained' | 'onSource'> {
+  const {list, log, now} = board;
+  return {
+    onFault(err, first) {
+      noteListFault(list, now());
+      count(board, 'source_faults');
+      if (first) log.write('always', 'sourceLost', {reason: err.message});
+      wakeNewsWaiters(board);
+    },
+    onRecovered() {
+      count(board, 'source_recovered');
+      log.write('always', 'sourceRecovered', {});
+    },
+    // Entries that lapsed during the outage are about to return.
+    onRegained: () => noteListFault(list, now()),
+    onSource(source) {
+      const ageMs = board.readNewsAge();
+      log.write('always', 'sourceChosen', {
+        source,
+        ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+        revision: board.mirror.revision,
+      });
+    },
+  };
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -6,16 +6,13 @@
   type KeyValueStore,
   LAG_WINDOW_MS,
   type SidecarSettings,
-  type StoreMirror,
   type StoreNews,
-  type StoreWatch,
+  type StoreFollow,
   count,
-  createMirror,
   createRandom,
   expireUpstreams,
-  noteListFault,
   pruneTargets,
-  startStoreWatch,
+  startStoreFollow,
 } from '../internal.js';
 import {
   type SidecarBoard,
@@ -33,7 +30,12 @@
 } from './inbound.js';
 import {takeNews} from './news.js';
 import {createSidecarOwner} from './owner.js';
-import {startPeerSync} from './peer_sync.js';
+import {
+  createNewsClient,
+  createNewsPeers,
+  wakeNewsWaiters,
+} from './peer_news.js';
+import {createSourceNotes} from './news.js';
 import {
   answerClientError,
   closePort,
@@ -72,8 +74,8 @@
 /** A running sidecar. */
 export interface Sidecar {
   readonly board: SidecarBoard;
-  /** Follows the keys with a prefix in the platform's store. */
-  follow(store: KeyValueStore, prefix: string): StoreWatch;
+  /** Follows the platform's store. */
+  follow(store: KeyValueStore): StoreFollow;
   /** Takes over changed settings; addresses stay as they were at the start. */
   reload(settings: SidecarSettings): void;
   /** Notes that changed settings could not be read; the old ones stay. */
@@ -90,8 +92,8 @@
   readonly names: HeaderNames;
   /** Path at which the platform asks whether the daemon is ready. */
   readonly readyPath: string;
-  /** Prefix of the keys that list the upstreams. */
-  readonly listPrefix: string;
+  /** Prefix of the keys that concern the mesh. */
+  readonly prefix: string;
   /** Reads what a key of the store means; undefined for other keys. */
   readonly decode: (
     key: string,
@@ -107,12 +109,20 @@
   const {id, dataCentre} = settings;
   const log = deps.log ?? createDecisionLog({id, dataCentre, now});
   const random = createRandom(randomInt(2 ** 32));
-  const board = createSidecarBoard({settings, names, log, random, now});
+  const board = createSidecarBoard({
+    settings,
+    names,
+    prefix: deps.prefix,
+    log,
+    random,
+    now,
+  });
   const control = createHttpClient({
     connections: 1,
     connectTimeoutMs: CRASH_REPORT_MS,
     keepAliveMs: CRASH_REPORT_MS,
   });
+  const newsClient = createNewsClient();
   const owner = createSidecarOwner(board, fingerprints => {
     const own = findOwnUpstream(board);
     if (!own) return;
@@ -161,9 +171,9 @@
   const readyServer = createReadyServer(board, deps.readyPath);
   const metricsServer = createMetricsServer(board);
 
-  const takeChanges = (mirror: StoreMirror, changes: KeyChange[]): void => {
+  const takeChanges = (changes: KeyChange[]): void => {
     const at = now();
-    if (mirror.prefix === deps.listPrefix) board.list.complete = true;
+    board.list.complete = true;
     if (changes.length === 0) return;
     for (const {key, value} of changes) {
       const item = deps.decode(key, value);
@@ -172,6 +182,7 @@
     pruneTargets(board.balance, board.list.byId);
     owner.sync();
     applyLimits(customerServer, board);
+    wakeNewsWaiters(board);
   };
   await openPort(customerServer, settings.customerPort, settings.host);
   await openPort(peerServer, settings.peerPort, settings.host);
@@ -185,11 +196,6 @@
     readyServer,
     metricsServer,
   ];
-  const stopPeerSync = startPeerSync({
-    board,
-    client: control,
-    onChanges: takeChanges,
-  });
   const ticker = setInterval(() => {
     board.lag.read();
     for (const upstream of expireUpstreams(board.list, now())) {
@@ -200,17 +206,18 @@
 
   return {
     board,
-    follow: (store, prefix) => {
-      const mirror = createMirror(prefix);
-      board.mirrors.push(mirror);
-      return startStoreWatch({
+    follow: store => {
+      const following = startStoreFollow({
         store,
-        mirror,
+        mirror: board.mirror,
+        peers: createNewsPeers(board, newsClient),
         random,
-        onChanges: changes => takeChanges(mirror, changes),
-        onFault: err => noteSource(board, prefix, err.message),
-        onRecovered: () => noteSource(board, prefix, undefined),
+        now,
+        onChanges: takeChanges,
+        ...createSourceNotes(board),
       });
+      board.readNewsAge = following.readAge;
+      return following;
     },
     reload(next) {
       board.settings = {...settings, service: next.service};
@@ -235,10 +242,11 @@
     },
     async close() {
       clearInterval(ticker);
-      stopPeerSync();
       for (const server of servers) server.closeAllConnections();
       await Promise.all(servers.map(closePort));
-      await Promise.all([entry.close(), owner.stop(), control.close()]);
+      const clients = [entry, control, newsClient];
+      await Promise.all(clients.map(client => client.close()));
+      await owner.stop();
     },
   };
 }
@@ -250,17 +258,3 @@
   server.keepAliveTimeout = idleTimeoutMs;
   server.headersTimeout = headerTimeoutMs;
 }
-
-/** Notes that a part of the store cannot be read, or can be again. */
-function noteSource(
-  board: SidecarBoard,
-  prefix: string,
-  fault: string | undefined,
-): void {
-  noteListFault(board.list, board.now());
-  if (fault === undefined) board.lostSources.delete(prefix);
-  else board.lostSources.add(prefix);
-  count(board, fault === undefined ? 'source_recovered' : 'source_faults');
-  const decision = fault === undefined ? 'sourceRecovered' : 'sourceLost';
-  board.log.write('always', decision, {source: prefix, reason: fault});
-}
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -22,6 +22,8 @@
   unframed: 'berylbend-unframed',
   /** Time after which a refused request is worth another try, ms. */
   retryMs: 'berylbend-retry-ms',
+  /** Time since a daemon's copy of the store was known to be current, ms. */
+  ageMs: 'berylbend-age-ms',
 } as const;
 
 /** Path under which a daemon accepts forwarded requests on its peer port. */
