Probe daemons that owe an answer and are quiet

A data centre had been cut off; a request to a daemon behind the cut hangs until its limit, an expired request told the balance nothing, and new requests went there until the entries lapsed, 4.5 s later.

Change: a daemon that owes an answer and has not been heard for 200 ms gets a probe on a new connection. Without an answer within 400 ms it is silent: requests that may run again go elsewhere from the resend budget, bookings wait on since their answer may still come, nothing new is sent there, and probes go on until one is answered.

Ruled out: shorter limits (the upstream's own work can take as long); ejecting on every expiry (a slow upstream behind a sound daemon expires too); early 502 for bookings (they may be served).

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import test from 'ava';
+import {holdTarget} from '../src/internal.js';
 import {answerSoundly, startRig, until} from './support/sidecar_rig.js';
 
 test.serial(
@@ -249,6 +250,36 @@
   },
 );
 
+// Requests to a data centre that had lost its power were held until their
+// deadline, and new ones were sent there until its entries lapsed.
+test.serial('a daemon that falls silent costs one wait', async t => {
+  const rig = await startRig(t, ['dc1']);
+  const {board} = rig.sidecars[0];
+  const peer = {silent: true, forwarded: 0};
+  const host = await rig.addPeer(t, 'dc1', (req, res) => {
+    const forwarded = req.headers['berylbend-terms'] !== undefined;
+    if (forwarded) peer.forwarded++;
+    if (peer.silent) return;
+    res.setHeader('berylbend-load', '0,0,8,10,0,0');
+    if (forwarded) answerSoundly(req, res, 'peer');
+    else res.writeHead(204).end();
+  });
+  await until(() => board.list.byId.has('peer'));
+  // The own upstream counts as unreachable, so that the other one is chosen.
+  const send = async () => {
+    holdTarget(board.balance, 'u0', 100, board.now());
+    return rig.send(0, {path: '/slow/1', deadlineMs: 5_000});
+  };
+  t.is((await send()).body, 'hello');
+  t.is(peer.forwarded, 1);
+  t.true(board.contacts.get(host)?.silent);
+  t.is((await send()).status, 503);
+  t.is(peer.forwarded, 1);
+  peer.silent = false;
+  await until(() => board.contacts.get(host)?.silent === false);
+  t.is((await send()).body, 'peer');
+});
+
 test.serial('a daemon learns from the reader of its data centre', async t => {
   const rig = await startRig(t, ['dc1', 'dc1', 'dc1']);
   const before = rig.store.calls;
--- a/__tests__/support/sidecar_rig.ts
+++ b/__tests__/support/sidecar_rig.ts
@@ -62,6 +62,12 @@
   /** Status of the readiness page of a sidecar. */
   readReady(index: number): Promise<number>;
   publish(change?: object): void;
+  /** Lists an upstream `peer` whose daemon is the handler; returns its host. */
+  addPeer(
+    t: ExecutionContext,
+    dataCentre: string,
+    handle: (req: IncomingMessage, res: ServerResponse) => void,
+  ): Promise<string>;
   /** Starts one more sidecar, which knows the first one as its seed. */
   startLate(dataCentre: string): Promise<Sidecar>;
 }
@@ -92,6 +98,17 @@
     service: 's',
     attempts: 2,
   },
+  {
+    name: 'slow',
+    host: 'shop.example',
+    path_prefix: '/slow/',
+    kind: 'idempotent',
+    timeout: '5s',
+    goal: '2s',
+    priority: 1,
+    service: 's',
+    attempts: 2,
+  },
   {
     name: 'book',
     host: 'shop.example',
@@ -107,6 +124,10 @@
 
 let nextHost = 2;
 
+function nameHost(): string {
+  return `127.77.${(process.pid >> 1) & 127}.${nextHost++}`;
+}
+
 /** Starts a fleet; the data centre of sidecar `i` is `dcs[i]`. */
 export async function startRig(
   t: ExecutionContext,
@@ -114,9 +135,7 @@
 ): Promise<SidecarRig> {
   const store = createFakeStore();
   const lines: string[] = [];
-  const hosts = dcs.map(
-    () => `127.77.${(process.pid >> 1) & 127}.${nextHost++}`,
-  );
+  const hosts = dcs.map(nameHost);
   const upstreams: RigUpstream[] = [];
   for (const [i, host] of hosts.entries()) {
     upstreams.push(await startUpstream(`u${i}`, host));
@@ -147,13 +166,20 @@
     });
   };
   publish();
-  for (const [i, {id, host, port}] of upstreams.entries()) {
+  const listUpstream = (
+    id: string,
+    host: string,
+    port: number,
+    zone: string,
+  ): void =>
     store.put(`servers/${id}`, {
       addr: `${host}:${port}`,
-      born: 1_000 + i,
-      info: {service: 's', version: 'v1', zone: dcs[i], slots: 8},
+      born: 1_000,
+      info: {service: 's', version: 'v1', zone, slots: 8},
       status: {state: 'ready', sequence: 1, cold_left: '0ms'},
     });
+  for (const [i, {id, host, port}] of upstreams.entries()) {
+    listUpstream(id, host, port, dcs[i]);
   }
   const sidecars: Sidecar[] = [];
   const startOne = async (
@@ -213,8 +239,21 @@
     upstreams,
     lines,
     publish,
+    addPeer: async (t, dataCentre, handle) => {
+      const host = nameHost();
+      const server = createServer(handle);
+      await new Promise<void>(resolve =>
+        server.listen(ports[1], host, resolve),
+      );
+      t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+      });
+      listUpstream('peer', host, 1, dataCentre);
+      return host;
+    },
     startLate: dataCentre => {
-      const host = `127.77.${(process.pid >> 1) & 127}.${nextHost++}`;
+      const host = nameHost();
       const seeds = [`${hosts[0]}:${ports[3]}`];
       return startOne('late', dataCentre, host, ports[4], seeds);
     },
--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -209,6 +209,20 @@
   observed.ejectedUntil = Math.max(observed.ejectedUntil, now + forMs);
 }
 
+/** Takes an upstream back whose daemon has answered a probe. */
+export function readmitTarget(
+  state: BalanceState,
+  id: string,
+  report: LoadReport,
+  now: number,
+): void {
+  const observed = observe(state, id);
+  observed.report = report;
+  observed.reportAt = now;
+  observed.ejectMs = 0;
+  observed.ejectedUntil = -Infinity;
+}
+
 /** Longest time for which a refusal for want of room holds, ms. */
 const FULL_HOLD_MS = 100;
 
--- /dev/null
+++ b/src/core/peer_contact.ts
@@ -0,0 +1,91 @@
+/** Time without a sign of a daemon that owes an answer after which it is
+ * probed, ms: most upstreams answer sooner, so probes stay few. */
+export const QUIET_MS = 200;
+
+/** Time for the answer to a probe, ms: a lost packet is sent again within it. */
+export const PROBE_TIMEOUT_MS = 400;
+
+/** Pause between probes of a silent daemon, ms. */
+export const SILENT_PROBE_MS = 500;
+
+/** A forwarded request that has no answer yet. */
+export interface OpenForward {
+  readonly sentAt: number;
+  /** Ends the wait for the answer; absent when only the answer may end it. */
+  readonly giveUp?: () => void;
+}
+
+/** What this daemon has last heard of another one. */
+export interface PeerContact {
+  heardAt: number;
+  probedAt: number;
+  probing: boolean;
+  /** True after a probe that was not answered, until one is. */
+  silent: boolean;
+  readonly open: Set<OpenForward>;
+}
+
+/** Contacts by host. */
+export type PeerContacts = Map<string, PeerContact>;
+
+/** Finds the contact of a host; creates it when it is new. */
+export function findContact(contacts: PeerContacts, host: string): PeerContact {
+  let contact = contacts.get(host);
+  if (!contact) {
+    contact = {
+      heardAt: -Infinity,
+      probedAt: -Infinity,
+      probing: false,
+      silent: false,
+      open: new Set(),
+    };
+    contacts.set(host, contact);
+  }
+  return contact;
+}
+
+/** Notes a sign of life; returns true when the daemon was silent before. */
+export function noteHeard(contact: PeerContact, now: number): boolean {
+  const {silent} = contact;
+  contact.heardAt = now;
+  contact.silent = false;
+  return silent;
+}
+
+/**
+ * Notes that a probe was not answered: requests that may go elsewhere do, and
+ * the others keep waiting, since their answer may still come.
+ */
+export function noteSilent(contact: PeerContact): void {
+  contact.silent = true;
+  for (const {giveUp} of [...contact.open]) giveUp?.();
+}
+
+/** Hosts that are to be probed now. */
+export function listQuiet(contacts: PeerContacts, now: number): string[] {
+  const quiet: string[] = [];
+  for (const [host, contact] of contacts) {
+    if (!contact.probing && isQuiet(contact, now)) quiet.push(host);
+  }
+  return quiet;
+}
+
+function isQuiet(contact: PeerContact, now: number): boolean {
+  const {open, heardAt, probedAt, silent} = contact;
+  if (silent) return now - probedAt >= SILENT_PROBE_MS;
+  // Requests are kept in the order in which they were sent.
+  const [oldest] = open;
+  return (
+    oldest !== undefined && now - Math.max(heardAt, oldest.sentAt) >= QUIET_MS
+  );
+}
+
+/** Forgets hosts that are no longer listed. */
+export function pruneContacts(
+  contacts: PeerContacts,
+  listed: ReadonlySet<string>,
+): void {
+  for (const [host, {open}] of contacts) {
+    if (!listed.has(host) && open.size === 0) contacts.delete(host);
+  }
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -39,6 +39,7 @@
 export * from './core/upstream_list.js';
 export * from './core/balance.js';
 export * from './core/resend_budget.js';
+export * from './core/peer_contact.js';
 export * from './core/gate.js';
 export * from './core/explain.js';
 export * from './core/store_mirror.js';
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -10,6 +10,7 @@
   type HeaderNames,
   type ListedUpstream,
   type LoopLag,
+  type PeerContacts,
   type Random,
   type ResendBudget,
   type RouteTable,
@@ -37,6 +38,7 @@
   /** Answers of this daemon's peers that wait for changes of the copy. */
   readonly newsWaiters: Set<() => void>;
   readonly balance: BalanceState;
+  readonly contacts: PeerContacts;
   /** Mean bytes of request and answer by route name. */
   readonly routeBytes: Map<string, number>;
   readonly resends: ResendBudget;
@@ -76,6 +78,7 @@
     readNewsAge: () => Infinity,
     newsWaiters: new Set(),
     balance: new Map(),
+    contacts: new Map(),
     routeBytes: new Map(),
     resends: createResendBudget(deps.settings.resends),
     splits: new Map(),
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -1,10 +1,17 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
-import {count, HEADERS, noteCrashes, type CrashReport} from '../internal.js';
+import {
+  count,
+  formatReport,
+  HEADERS,
+  noteCrashes,
+  type CrashReport,
+} from '../internal.js';
 import {readBody} from '../daemon/http.js';
 import type {SidecarBoard} from './board.js';
 import {readForward, writeReply} from './hop.js';
 import type {Owner} from './owner.js';
+import {ALIVE_PATH} from './peer_probe.js';
 import {serveState, STATE_PATH} from './peer_news.js';
 
 /** Path at which a daemon takes reports of crashed upstreams. */
@@ -33,7 +40,7 @@
   return (req, res) => {
     const handled =
       req.headers[HEADERS.terms] === undefined
-        ? serveControl(board, req, res)
+        ? serveControl(board, owner, req, res)
         : serveForward(board, owner, req, res);
     handled.catch((err: Error) => {
       count(board, 'inbound_errors');
@@ -84,9 +91,15 @@
 /** Answers what daemons ask of each other beside forwarded requests. */
 export async function serveControl(
   board: SidecarBoard,
+  owner: Owner,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
+  if (req.method === 'GET' && req.url === ALIVE_PATH) {
+    const load = formatReport(owner.readReport());
+    res.writeHead(204, {[HEADERS.load]: load, connection: 'close'}).end();
+    return;
+  }
   if (req.method === 'GET' && req.url?.startsWith(STATE_PATH)) {
     serveState(board, req, res);
     return;
--- a/src/sidecar/offer.ts
+++ b/src/sidecar/offer.ts
@@ -17,6 +17,7 @@
 import type {ForwardReply, ForwardRequest} from './forward.js';
 import {sendForward} from './hop.js';
 import type {HttpAnswer} from './http_client.js';
+import {awaitForward} from './peer_probe.js';
 
 /** A resend needs this much of the usual running time, ms at least. */
 const MIN_RESEND_MS = 20;
@@ -98,10 +99,14 @@
   const own =
     upstream.host === settings.upstream.host &&
     upstream.port === settings.upstream.port;
-  exchange.call = own
+  const call = own
     ? owner.submit(request)
     : sendForward(client, upstream, settings.peerPort, request, now);
-  const reply = await exchange.call.result;
+  exchange.call = call;
+  const repeatable = route?.repeatable ?? false;
+  const reply = await (own
+    ? call.result
+    : awaitForward(board, upstream.host, call, repeatable));
   exchange.call = undefined;
   noteTargetEnd(board.balance, upstream.id, reply.report, board.now());
   return reply;
--- /dev/null
+++ b/src/sidecar/peer_probe.ts
@@ -0,0 +1,160 @@
+import {
+  type LoadReport,
+  type PeerContact,
+  HEADERS,
+  PROBE_TIMEOUT_MS,
+  SILENT_PROBE_MS,
+  count,
+  findContact,
+  holdTarget,
+  listQuiet,
+  noteHeard,
+  noteSilent,
+  parseReport,
+  pruneContacts,
+  readmitTarget,
+} from '../internal.js';
+import type {SidecarBoard} from './board.js';
+import type {ForwardCall, ForwardReply} from './forward.js';
+import {readOne} from './header_copy.js';
+import {createHttpClient} from './http_client.js';
+
+/** Path at which a daemon answers that it is alive, with its load. */
+export const ALIVE_PATH = '/.well-known/berylbend/alive';
+
+/** Interval at which quiet daemons are looked for, ms. */
+const CHECK_MS = 50;
+
+/**
+ * Awaits the answer of another daemon. When that daemon falls silent, a request
+ * that may run again ends as broken; any other waits on.
+ */
+export function awaitForward(
+  {contacts, now}: SidecarBoard,
+  host: string,
+  call: ForwardCall,
+  repeatable: boolean,
+): Promise<ForwardReply> {
+  const contact = findContact(contacts, host);
+  return new Promise(resolve => {
+    const giveUp = (): void => {
+      contact.open.delete(open);
+      resolve({
+        kind: 'broken',
+        outcome: 'connectionBroken',
+        code: 'PEER_SILENT',
+      });
+      call.abort();
+    };
+    const sentAt = now();
+    const open = repeatable ? {sentAt, giveUp} : {sentAt};
+    contact.open.add(open);
+    void call.result.then(reply => {
+      contact.open.delete(open);
+      if (reply.report) noteHeard(contact, now());
+      resolve(reply);
+    });
+  });
+}
+
+/**
+ * Probes daemons that owe an answer and have not been heard of, so that one
+ * that is cut off or has lost its power costs the requests of a moment and not
+ * those of the seconds until its entry lapses. Returns the function to stop.
+ */
+export function startPeerProbe(board: SidecarBoard): () => Promise<void> {
+  const client = createHttpClient({
+    // A new connection for each probe: kept ones may have gone silent alone.
+    connections: 1,
+    connectTimeoutMs: PROBE_TIMEOUT_MS,
+    keepAliveMs: 1,
+  });
+  const timer = setInterval(() => {
+    const now = board.now();
+    const listed = [...board.list.byId.values()].map(({host}) => host);
+    pruneContacts(board.contacts, new Set(listed));
+    for (const host of listQuiet(board.contacts, now)) {
+      void probe(board, client, host);
+    }
+  }, CHECK_MS);
+  return () => {
+    clearInterval(timer);
+    return client.close();
+  };
+}
+
+async function probe(
+  board: SidecarBoard,
+  client: ReturnType<typeof createHttpClient>,
+  host: string,
+): Promise<void> {
+  const contact = findContact(board.contacts, host);
+  const startedAt = board.now();
+  contact.probing = true;
+  contact.probedAt = startedAt;
+  count(board, 'peer_probes');
+  const origin = `http://${host}:${board.settings.peerPort}`;
+  const request = {
+    method: 'GET',
+    path: ALIVE_PATH,
+    headers: [],
+    body: undefined,
+  };
+  const call = client.send(origin, request, startedAt);
+  // Input that has come while this process was busy is read before the probe
+  // counts as failed.
+  const timer = setTimeout(
+    () => setImmediate(() => call.abort()),
+    PROBE_TIMEOUT_MS,
+  );
+  const result = await call.result;
+  clearTimeout(timer);
+  contact.probing = false;
+  const report =
+    result.kind === 'answer'
+      ? parseReport(readOne(result.answer.headers, HEADERS.load))
+      : undefined;
+  if (report) noteAlive(board, host, contact, report);
+  else if (contact.heardAt < startedAt) noteLost(board, host, contact);
+}
+
+function noteAlive(
+  board: SidecarBoard,
+  host: string,
+  contact: PeerContact,
+  report: LoadReport,
+): void {
+  const now = board.now();
+  const wasSilent = noteHeard(contact, now);
+  for (const id of listUpstreams(board, host)) {
+    if (wasSilent) readmitTarget(board.balance, id, report, now);
+  }
+  if (wasSilent) board.log.write('always', 'peerHeard', {host});
+}
+
+function noteLost(
+  board: SidecarBoard,
+  host: string,
+  contact: PeerContact,
+): void {
+  const now = board.now();
+  if (!contact.silent) {
+    count(board, 'peer_silences');
+    board.log.write('always', 'peerSilent', {
+      host,
+      open: contact.open.size,
+      heardAgoMs: Math.round(Math.min(now - contact.heardAt, 1e6)),
+    });
+  }
+  // Holds until the next probe has ended.
+  for (const id of listUpstreams(board, host)) {
+    holdTarget(board.balance, id, SILENT_PROBE_MS + 2 * PROBE_TIMEOUT_MS, now);
+  }
+  noteSilent(contact);
+}
+
+function listUpstreams({list}: SidecarBoard, host: string): string[] {
+  return [...list.byId.values()]
+    .filter(upstream => upstream.host === host)
+    .map(({id}) => id);
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -29,6 +29,7 @@
   takeCrashes,
 } from './inbound.js';
 import {takeNews} from './news.js';
+import {startPeerProbe} from './peer_probe.js';
 import {createSidecarOwner} from './owner.js';
 import {
   createNewsClient,
@@ -163,7 +164,7 @@
   });
   peerServer.on('request', createInbound(board, owner));
   const controlServer = createServer((req, res) => {
-    serveControl(board, req, res).catch((err: Error) => {
+    serveControl(board, owner, req, res).catch((err: Error) => {
       log.write('notable', 'controlError', {error: err.message});
       res.destroy();
     });
@@ -196,6 +197,7 @@
     readyServer,
     metricsServer,
   ];
+  const stopProbe = startPeerProbe(board);
   const ticker = setInterval(() => {
     board.lag.read();
     for (const upstream of expireUpstreams(board.list, now())) {
@@ -246,7 +248,7 @@
       await Promise.all(servers.map(closePort));
       const clients = [entry, control, newsClient];
       await Promise.all(clients.map(client => client.close()));
-      await owner.stop();
+      await Promise.all([owner.stop(), stopProbe()]);
     },
   };
 }
