Ask other daemons at once when the first read of the store hangs

Daemons were restarted in turn while answers of the store were lost; each waited 2.5 s for its first read to time out before it asked a peer ("started" to "sourceLost" to "learnedFromPeer").

Change: a daemon that knows nothing asks its seeds and peers 250 ms after it started to read, while the read goes on. A whole read that is older than what a peer has told meanwhile changes nothing.

Ruled out: a shorter time-out of the read (a slow store would never be read whole).

--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -2,6 +2,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {
   applyMirrorState,
+  applyWhole,
   createMirror,
   FRESH_MS,
   POLL_MS,
@@ -38,8 +39,9 @@
   t: ExecutionContext,
   names: readonly string[],
   store: FakeStore,
+  {others = [] as Daemon[], cut = false} = {},
 ): Daemon[] {
-  const daemons: Daemon[] = [];
+  const daemons = [...others];
   const wait = (ms: number) =>
     new Promise<void>(resolve => setTimeout(resolve, ms));
   const ask = async (
@@ -75,7 +77,7 @@
       known,
       events,
       silent: false,
-      cut: false,
+      cut,
       follow: undefined as unknown as StoreFollow,
     };
     daemon.follow = startStoreFollow({
@@ -98,7 +100,7 @@
       peers: {
         own: name,
         rank: () => rankReaders('dc', names, name),
-        pickAny: () => names.find(other => other !== name),
+        pickAny: () => daemons.find(other => other.name !== name)?.name,
         ask,
       },
       onChanges: (changes: KeyChange[]) => {
@@ -119,7 +121,7 @@
     t.teardown(() => daemon.follow.stop());
     daemons.push(daemon);
   }
-  return daemons;
+  return daemons.slice(others.length);
 }
 
 function makeRig(t: ExecutionContext, count: number, pageSize?: number) {
@@ -212,6 +214,27 @@
   });
 }
 
+// In an incident a restarted daemon refused 320 requests for want of a
+// configuration, because its first read of the store hung for 2.5 s.
+test.serial('a daemon whose first read hangs asks the others', async t => {
+  const {clock, store, start} = makeRig(t, 3);
+  store.put('k/a', '1');
+  const others = start();
+  await clock.tickAsync(1_000);
+  const [late] = startDaemons(t, ['late'], store, {others, cut: true});
+  await clock.tickAsync(FRESH_MS - WATCH_MS);
+  t.is(late.known.get('k/a'), '1');
+});
+
+test('a whole read that is older than what is known changes nothing', t => {
+  const mirror = createMirror('k/');
+  const item = {key: 'k/a', value: Buffer.from('new'), revision: 9};
+  applyWhole(mirror, [item], 9);
+  t.deepEqual(applyWhole(mirror, [], 7), []);
+  t.is(mirror.items.size, 1);
+  t.is(mirror.revision, 9);
+});
+
 test.serial('a daemon that the store refuses follows the others', async t => {
   const {clock, store, ranked, start} = makeRig(t, 3);
   const daemons = start();
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -59,6 +59,10 @@
 /** Time for which a daemon that gave no fresh answer is not asked, ms. */
 const AVOID_MS = {shortest: 1_000, longest: 8_000};
 
+/** Time after which a daemon that knows nothing asks others beside the store,
+ * ms: a read that hangs would keep it from serving until it has timed out. */
+const FIRST_ASK_MS = 250;
+
 /** Pause while neither the store nor a ranked daemon answers, ms. */
 const LOST_PAUSE_MS = 300;
 
@@ -216,6 +220,7 @@
 async function readStore(state: FollowState, waitMs: number): Promise<void> {
   const {deps} = state;
   const {own} = deps.peers;
+  const helper = setTimeout(() => void askUntilKnown(state), FIRST_ASK_MS);
   try {
     const changes = await (state.whole ? readWhole(deps) : watch(deps, waitMs));
     if (state.stopped) return;
@@ -234,9 +239,16 @@
     state.stale = true;
     deps.onFault(err as Error, !state.faulty);
     state.faulty = true;
+  } finally {
+    clearTimeout(helper);
   }
 }
 
+async function askUntilKnown(state: FollowState): Promise<void> {
+  const {mirror} = state.deps;
+  while (!state.stopped && mirror.revision === undefined) await askAny(state);
+}
+
 function avoid(
   state: FollowState,
   address: string,
--- a/src/core/store_mirror.ts
+++ b/src/core/store_mirror.ts
@@ -60,6 +60,8 @@
   items: readonly StoreItem[],
   revision: number,
 ): KeyChange[] {
+  // Another daemon may have told something newer while the read was on its way.
+  if (revision < (mirror.revision ?? 0)) return [];
   const present = new Set(items.map(item => item.key));
   const changes = dropMissing(mirror, present);
   return [...changes, ...applyEvents(mirror, items, revision)];
