Refuse a waiting request when it cannot end in time any more

Cause: an owner refused what waited 15 ms before its limit, although its gate would not have started it for longer: it starts nothing whose usual running time ends after the limit. The refusal often reached the entry after the limit, so the customer got 504, which promises nothing, for a request that had not run.

Change: a request waits until its limit less its usual running time, and is then refused as not run.

--- a/__tests__/gate.test.ts
+++ b/__tests__/gate.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
   admit,
+  computeMaxWaitMs,
   createGate,
   flushWaiting,
   pump,
@@ -117,6 +118,16 @@
   t.true(started <= 3);
 });
 
+// Customers were told 15 ms before their deadline that a request had not run,
+// long after it could have ended in time.
+test('a request waits no longer than it could still end in time', t => {
+  const gate = makeWarmGate(1);
+  t.is(computeMaxWaitMs(gate, 'r', 600), 500);
+  t.is(computeMaxWaitMs(gate, 'r', 50), 1);
+  gate.meanByKind.set('quick', 2);
+  t.is(computeMaxWaitMs(gate, 'quick', 600), 585);
+});
+
 test('withdrawn and flushed requests never start', t => {
   const gate = makeWarmGate(1);
   admit(gate, makeWork(), 0);
--- a/src/core/gate.ts
+++ b/src/core/gate.ts
@@ -107,6 +107,22 @@
   return gate.meanByKind.get(kind) ?? gate.meanMs;
 }
 
+/** Time that the entry needs to pass on a refusal before its deadline, ms. */
+const REFUSAL_MARGIN_MS = 15;
+
+/**
+ * Longest time that a request may wait for its start, ms. What cannot end
+ * within its limit any more is refused while its customer can still come back.
+ */
+export function computeMaxWaitMs(
+  gate: Gate,
+  kind: string,
+  limitMs: number,
+): number {
+  const neededMs = Math.max(REFUSAL_MARGIN_MS, expectMs(gate, kind));
+  return Math.max(1, limitMs - neededMs);
+}
+
 /** Expected wait of a request that arrives now, ms. */
 export function expectWaitMs(gate: Gate, rank: number, now: number): number {
   const ahead = gate.waiting.filter(item => item.work.rank <= rank).length;
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -5,6 +5,7 @@
   type LoadReport,
   type Outcome,
   admit,
+  computeMaxWaitMs,
   count,
   findByAddress,
   isGateCold,
@@ -40,9 +41,6 @@
  */
 const KEEP_ALIVE_MS = 3_000;
 
-/** Time that the entry needs to pass on a refusal before its deadline, ms. */
-const REFUSAL_MARGIN_MS = 15;
-
 /** Access to the upstream beside the daemon. */
 export interface Owner {
   /** Admits a request and sends it to the upstream at most once. */
@@ -212,7 +210,7 @@
   if (outcome) refuse(outcome, 0);
   else admit(board.gate, work, arrivedAt);
   if (!over && !call) {
-    const waitMs = Math.max(1, request.limitMs - REFUSAL_MARGIN_MS);
+    const waitMs = computeMaxWaitMs(board.gate, request.route, request.limitMs);
     timer = setTimeout(() => {
       if (withdraw(board.gate, work)) refuse('deadlineTooShort', 0);
     }, waitMs);
