--- a/__tests__/explain.test.ts
+++ b/__tests__/explain.test.ts
@@ -1,5 +1,11 @@
 import test from 'ava';
-import {explainRequest, formatStory, parseDecisions} from '../src/internal.js';
+import {
+  explainRequest,
+  formatDecisions,
+  formatStory,
+  listChanges,
+  parseDecisions,
+} from '../src/internal.js';
 
 function line(id: string, decision: string, time: string, fields: object) {
   const common = {name: 'berylbend', id, hostname: 'h', pid: 1, level: 30};
@@ -41,3 +47,13 @@
   t.truthy(explainRequest(lines, 'other'));
   t.is(explainRequest(lines, 'r'), undefined);
 });
+
+test('without an id, changes of state are told in order of time', t => {
+  const lines = [...parseDecisions(ownerLogs), ...parseDecisions(entryLog)];
+  const changes = listChanges(lines);
+  t.deepEqual(
+    changes.map(({id, decision}) => `${id} ${decision}`),
+    ['o1 upstreamDown', 'e configInForce'],
+  );
+  t.true(formatDecisions(changes).includes('version=7'));
+});
--- a/__tests__/platform_decode.test.ts
+++ b/__tests__/platform_decode.test.ts
@@ -1,6 +1,9 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import test from 'ava';
 import {decodeEntry, parseDuration} from '../platform/decode.js';
-import {decodeSettings} from '../platform/settings.js';
+import {decodeSettings, describeSettings} from '../platform/settings.js';
 
 const entry = {
   addr: '10.1.0.8:8301',
@@ -153,3 +156,16 @@
     t.true((err as Error).message.startsWith(field), String(err));
   }
 });
+
+test('a settings file is described, or its fault is named', t => {
+  const dir = mkdtempSync(join(tmpdir(), 'berylbend-'));
+  t.teardown(() => rmSync(dir, {recursive: true}));
+  const path = join(dir, 'node.json');
+  writeFileSync(path, JSON.stringify(settings));
+  t.true(describeSettings(path).includes(settings.self.node));
+  writeFileSync(path, JSON.stringify({...settings, platform: {}}));
+  const err = t.throws(() => describeSettings(path), {any: true});
+  t.true((err as Error).message.includes('platform.platform.addr'));
+  writeFileSync(path, '{');
+  t.throws(() => describeSettings(path), {any: true});
+});
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -1,18 +1,26 @@
 import {Args, Flags} from '@oclif/core';
 import {readText} from '../../daemon/settings.js';
-import {explainRequest, formatStory, parseDecisions} from '../../internal.js';
+import {
+  explainRequest,
+  formatDecisions,
+  formatStory,
+  listChanges,
+  parseDecisions,
+} from '../../internal.js';
 import {BaseCommand, EXIT, outFlag} from '../base.js';
 
-/** Tells the story of one request from the logs of the daemons. */
+/** Tells the story of a request, or of the fleet, from the daemons' logs. */
 export class ExplainCommand extends BaseCommand {
   static override description =
-    'Print what all daemons decided about a request, causes first. Exit ' +
-    'codes: 0 shown, 1 no line has the id.';
+    'Print what all daemons decided about a request, causes first; without ' +
+    'an id, every change of state of the daemons as a time line. Exit codes: ' +
+    '0 shown, 1 no line has the id.';
   static override examples = [
     '<%= config.bin %> explain 9c41d07be2a35f68 --log d1.log --log d2.log',
+    '<%= config.bin %> explain --log d1.log --log d2.log',
   ];
   static override args = {
-    request: Args.string({required: true, description: 'id of the request'}),
+    request: Args.string({description: 'id of the request'}),
   };
   static override flags = {
     log: Flags.string({
@@ -26,6 +34,10 @@
   override async run(): Promise<void> {
     const {args, flags} = await this.parse(ExplainCommand);
     const lines = flags.log.flatMap(file => parseDecisions(readText(file)));
+    if (args.request === undefined) {
+      this.write(formatDecisions(listChanges(lines)), flags.out);
+      return;
+    }
     const story = explainRequest(lines, args.request);
     if (!story) {
       this.logToStderr(`no line has the request id ${args.request}`);
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -23,14 +23,21 @@
 const CONTEXT_DECISIONS = new Set([
   'configInForce',
   'ejected',
-  'learnedFromPeer',
   'linesDropped',
+  'peerHeard',
+  'peerSilent',
+  'reloaded',
+  'reloadFailed',
+  'sourceChosen',
   'sourceLost',
   'sourceRecovered',
   'started',
+  'stopped',
   'stopping',
   'takeOutChanged',
   'upstreamDown',
+  'upstreamGone',
+  'upstreamListed',
   'upstreamUp',
 ]);
 
@@ -114,6 +121,22 @@
   return context;
 }
 
+/**
+ * Lists what changed the belief of any daemon, by the time that the lines bear;
+ * clocks may differ between daemons.
+ */
+export function listChanges(lines: readonly DecisionLine[]): DecisionLine[] {
+  const readTime = ({fields}: DecisionLine) => String(fields.time ?? '');
+  return lines
+    .filter(({decision}) => CONTEXT_DECISIONS.has(decision))
+    .sort((a, b) => readTime(a).localeCompare(readTime(b)));
+}
+
+/** Formats decisions as text, one line each. */
+export function formatDecisions(lines: readonly DecisionLine[]): string {
+  return lines.map(formatLine).join('\n');
+}
+
 /** Formats a story as text, one line a decision. */
 export function formatStory(story: Story): string {
   const context = [...story.context].flatMap(([id, lines]) =>
