--- a/standins/demo.ts
+++ b/standins/demo.ts
@@ -1,3 +1,5 @@
+import {writeFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
 import {createRandom, KEYS_PATH} from '../src/internal.js';
 import {
   createCustomer,
@@ -26,7 +28,14 @@
   ],
 );
 
-const failures: string[] = [];
+/** One check of the demo; the detail holds what was seen. */
+interface Check {
+  readonly name: string;
+  readonly ok: boolean;
+  readonly detail: string;
+}
+
+const checks: Check[] = [];
 
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
@@ -34,7 +43,7 @@
 
 function expect(name: string, holds: boolean, detail = ''): void {
   print(`  ${holds ? 'ok  ' : 'FAIL'} ${name}${detail && `: ${detail}`}`);
-  if (!holds) failures.push(name);
+  checks.push({name, ok: holds, detail});
 }
 
 function formatMs(ms: number): string {
@@ -192,7 +201,7 @@
 
 async function stopAll(fleet: Fleet, customer: Customer): Promise<void> {
   await customer.close();
-  if (failures.length > 0) {
+  if (checks.some(({ok}) => !ok)) {
     for (const {id, daemon} of fleet.instances) {
       print(`Newest log lines of ${id}:\n  ${daemon.readLog(3).join('\n  ')}`);
     }
@@ -203,7 +212,15 @@
   expect('every daemon ends with exit code 0', bad.length === 0, String(bad));
 }
 
+/** Writes all checks as JSON; throws when the file cannot be written. */
+function writeReport(path: string, ok: boolean, seconds: number): void {
+  const report = {ok, seconds, checks};
+  writeFileSync(path, `${JSON.stringify(report, null, 2)}\n`);
+  print(`Report: ${path}`);
+}
+
 async function main(): Promise<void> {
+  const {values} = parseArgs({options: {report: {type: 'string'}}});
   const startedAt = performance.now();
   // Without a handler a signal would skip the exit handler of the fleet.
   for (const signal of ['SIGINT', 'SIGTERM'] as const) {
@@ -227,13 +244,15 @@
     await stopAll(fleet, customer);
     clearTimeout(timer);
   }
-  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+  const seconds = Number(((performance.now() - startedAt) / 1_000).toFixed(1));
+  const failed = checks.filter(({ok}) => !ok).length;
   print(
-    failures.length === 0
+    failed === 0
       ? `All expectations hold (${seconds} s)`
-      : `${failures.length} expectations fail (${seconds} s)`,
+      : `${failed} expectations fail (${seconds} s)`,
   );
-  process.exitCode = failures.length === 0 ? 0 : 1;
+  process.exitCode = failed === 0 ? 0 : 1;
+  if (values.report) writeReport(values.report, failed === 0, seconds);
 }
 
 await main();
