Do not take a lost answer for a restart of the upstream

Every reset made the owner count its upstream as cold until a health check had passed the same line as the requests: "upstreamUp wasDown=false" ten times a second for ten seconds, at the cold rate most of that time.

Change: after a broken exchange the upstream is asked, and keeps its rate until the answer; only a refused connection makes it count as cold. An upstream that has ended is away for seconds, so new connections show it before it is back. A health check that gets no answer while requests do is no sign of an end either: a busy upstream turns checks away.

Ruled out: two breaks as the sign (lost answers come in groups).

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import test from 'ava';
-import {holdTarget} from '../src/internal.js';
+import {holdTarget, isGateCold} from '../src/internal.js';
 import {answerSoundly, startRig, until} from './support/sidecar_rig.js';
 
 test.serial(
@@ -250,6 +250,22 @@
   },
 );
 
+// In an incident each answer that an upstream lost made it count as cold until
+// a health check was answered, which took most of its room for 10 s.
+test.serial('a lost answer does not make its upstream cold', async t => {
+  const rig = await startRig(t, ['dc1']);
+  const [upstream] = rig.upstreams;
+  upstream.handle = (req, res) => {
+    if (req.url === '/book/lost') req.socket.resetAndDestroy();
+    else setTimeout(() => answerSoundly(req, res), 50);
+  };
+  upstream.muteHealth = true;
+  t.is((await rig.send(0, {path: '/book/lost'})).status, 502);
+  const {board} = rig.sidecars[0];
+  t.false(isGateCold(board.gate, board.now()));
+  t.is((await rig.send(0)).status, 200);
+});
+
 // Requests to a data centre that had lost its power were held until their
 // deadline, and new ones were sent there until its entries lapsed.
 test.serial('a daemon that falls silent costs one wait', async t => {
--- a/__tests__/support/sidecar_rig.ts
+++ b/__tests__/support/sidecar_rig.ts
@@ -29,6 +29,8 @@
   readonly seen: IncomingMessage[];
   handle: (req: IncomingMessage, res: ServerResponse) => void;
   health: Record<string, string>;
+  /** While set, health checks get no answer. */
+  muteHealth: boolean;
   close(): Promise<void>;
 }
 
@@ -278,6 +280,7 @@
   const sockets = new Set<Socket>();
   const server = createServer((req, res) => {
     if (req.url === '/healthz') {
+      if (upstream.muteHealth) return;
       res.writeHead(200, {'x-instance-id': id, ...upstream.health}).end();
       return;
     }
@@ -298,6 +301,7 @@
     seen: [],
     handle: answerSoundly,
     health: {},
+    muteHealth: false,
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -70,6 +70,7 @@
     active: 0,
     checking: false,
     stopped: false,
+    answeredAt: -Infinity,
     bornAt: 0,
     out: false,
     asked: false,
@@ -286,6 +287,7 @@
     return;
   }
   const {answer} = result;
+  state.answeredAt = now;
   const judged = judgeAnswer(board, request, answer);
   if (judged === 'notRun') {
     finish('failed');
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -24,6 +24,8 @@
   active: number;
   checking: boolean;
   stopped: boolean;
+  /** Monotonic time of the upstream's newest answer to a request, ms. */
+  answeredAt: number;
   /** Incarnation whose health is known. */
   bornAt: number;
   /** True while the data centre is taken out. */
@@ -40,7 +42,11 @@
   startHealthCheck(state, 'restart');
 }
 
-/** Takes a broken exchange as a sign that the upstream may have restarted. */
+/**
+ * Takes a broken exchange as a sign that the upstream may have ended, and asks
+ * it. Only a refused connection makes it count as cold meanwhile: an upstream
+ * that ended is away for seconds, so a lost answer alone is no restart.
+ */
 export function noteBreak(
   state: OwnerState,
   request: ForwardRequest,
@@ -58,7 +64,7 @@
   });
   const suspects = [...state.running].map(item => item.fingerprint);
   if (written) suspects.push(request.fingerprint);
-  if (!isGateCold(board.gate, board.now())) {
+  if (!written && !isGateCold(board.gate, board.now())) {
     setCold(board.gate, Infinity, board.now());
   }
   startHealthCheck(state, code, suspects);
@@ -89,11 +95,14 @@
   const {board} = state;
   let crashed = suspects;
   for (let checks = 0; checks < MAX_CHECKS && !state.stopped; checks++) {
+    const askedAt = board.now();
     const headers = await askHealth(state);
     if (headers) {
       noteHealth(state, headers);
       return;
     }
+    // A busy upstream may turn the check away and answer requests.
+    if (state.answeredAt >= askedAt && !isGateCold(board.gate, askedAt)) return;
     if (!board.gate.down) {
       board.gate.down = true;
       board.log.write('always', 'upstreamDown', {});
