--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -16,7 +16,7 @@
   type StoreFollow,
   type StoreMirror,
 } from '../src/internal.js';
-import {createFakeStore, type FakeStore} from './support/store_fake.js';
+import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
 
 /** One daemon that follows the store, with switches for its faults. */
 interface Daemon {
--- a/__tests__/support/sidecar_rig.ts
+++ b/__tests__/support/sidecar_rig.ts
@@ -17,7 +17,7 @@
 import type {SidecarSettings} from '../../src/internal.js';
 import {createDecisionLog} from '../../src/sidecar/decision_log.js';
 import {startSidecar, type Sidecar} from '../../src/sidecar/sidecar.js';
-import {createFakeStore, type FakeStore} from './store_fake.js';
+import {createFakeStore, type FakeStore} from '../../standins/kv_store.js';
 
 /** Upstream whose handler a test may replace. */
 export interface RigUpstream {
--- a/__tests__/support/store_fake.ts
+++ b/standins/kv_store.ts
@@ -1,4 +1,4 @@
-import type {KeyValueStore, StoreEvent, StoreItem} from '../../src/internal.js';
+import type {KeyValueStore, StoreEvent, StoreItem} from '../src/internal.js';
 
 /** Store in memory with switches for the faults of the platform's store. */
 export interface FakeStore extends KeyValueStore {
