--- /dev/null
+++ b/src/sidecar/crash_reports.ts
@@ -0,0 +1,77 @@
+import {z} from 'zod';
+import {noteCrashes, type CrashReport} from '../internal.js';
+import {type SidecarBoard, findOwnUpstream} from './board.js';
+import type {HttpClient} from './http_client.js';
+
+/** Path at which a daemon takes reports of crashed upstreams. */
+export const CRASH_PATH = '/.well-known/berylbend/crashes';
+
+/** Reports that one message may carry. */
+const MAX_REPORTS = 1_000;
+
+/** Schema of a message with reports. */
+export const crashReportsSchema = z
+  .array(
+    z.object({
+      fingerprint: z.string(),
+      service: z.string(),
+      upstream: z.string(),
+      crashes: z.int().min(1),
+      ageMs: z.number().min(0),
+    }),
+  )
+  .max(MAX_REPORTS);
+
+/** Time for a report of a crash to reach another daemon, ms. */
+export const CRASH_REPORT_MS = 1_000;
+
+/**
+ * Creates the function that takes in and tells all daemons which requests were
+ * running when the upstream beside this one crashed.
+ */
+export function createCrashReporter(
+  board: SidecarBoard,
+  client: HttpClient,
+): (fingerprints: string[]) => void {
+  return fingerprints => {
+    const own = findOwnUpstream(board);
+    if (!own) return;
+    const {service, id: upstream} = own;
+    const reports = fingerprints.map(fingerprint => {
+      return {fingerprint, service, upstream, crashes: 1, ageMs: 0};
+    });
+    takeCrashes(board, reports);
+    tellPeers(board, client, reports);
+  };
+}
+
+function tellPeers(
+  {list, settings, now}: SidecarBoard,
+  client: HttpClient,
+  reports: readonly CrashReport[],
+): void {
+  const hosts = new Set([...list.byId.values()].map(item => item.host));
+  hosts.delete(settings.host);
+  const body = Buffer.from(JSON.stringify(reports));
+  const request = {method: 'POST', path: CRASH_PATH, headers: [], body};
+  for (const host of hosts) {
+    const origin = `http://${host}:${settings.peerPort}`;
+    const call = client.send(origin, request, now());
+    setTimeout(() => call.abort(), CRASH_REPORT_MS);
+  }
+}
+
+/** Takes in reports of requests that were running when an upstream crashed. */
+export function takeCrashes(
+  board: SidecarBoard,
+  reports: readonly CrashReport[],
+): void {
+  const news = noteCrashes(board.suspects, reports, board.now());
+  for (const {fingerprint, upstream, crashes} of news) {
+    board.log.write('notable', 'crashReported', {
+      fingerprint,
+      upstream,
+      crashes,
+    });
+  }
+}
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -1,37 +1,13 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
-import {
-  count,
-  formatReport,
-  HEADERS,
-  noteCrashes,
-  type CrashReport,
-} from '../internal.js';
+import {count, formatReport, HEADERS} from '../internal.js';
 import {readBody} from '../daemon/http.js';
 import type {SidecarBoard} from './board.js';
+import {CRASH_PATH, crashReportsSchema, takeCrashes} from './crash_reports.js';
 import {readForward, writeReply} from './hop.js';
 import type {Owner} from './owner.js';
 import {ALIVE_PATH} from './peer_probe.js';
 import {serveState, STATE_PATH} from './peer_news.js';
 
-/** Path at which a daemon takes reports of crashed upstreams. */
-export const CRASH_PATH = '/.well-known/berylbend/crashes';
-
-/** Reports that one message may carry. */
-const MAX_REPORTS = 1_000;
-
-const crashReportsSchema = z
-  .array(
-    z.object({
-      fingerprint: z.string(),
-      service: z.string(),
-      upstream: z.string(),
-      crashes: z.int().min(1),
-      ageMs: z.number().min(0),
-    }),
-  )
-  .max(MAX_REPORTS);
-
 /** Creates the handler of the port for other daemons. */
 export function createInbound(
   board: SidecarBoard,
@@ -119,18 +95,3 @@
   takeCrashes(board, parsed.data);
   res.writeHead(204).end();
 }
-
-/** Takes in reports of requests that were running when an upstream crashed. */
-export function takeCrashes(
-  board: SidecarBoard,
-  reports: readonly CrashReport[],
-): void {
-  const news = noteCrashes(board.suspects, reports, board.now());
-  for (const {fingerprint, upstream, crashes} of news) {
-    board.log.write('notable', 'crashReported', {
-      fingerprint,
-      upstream,
-      crashes,
-    });
-  }
-}
--- a/src/sidecar/peer_news.ts
+++ b/src/sidecar/peer_news.ts
@@ -29,6 +29,12 @@
 /** Time after which an idle connection to a peer is closed, ms. */
 const KEEP_ALIVE_MS = 10_000;
 
+/** Largest state that is taken from a peer, bytes. */
+const MAX_STATE_BYTES = 67_108_864;
+
+/** Age that stands for every longer one, ms. */
+const MAX_AGE_MS = 3_600_000;
+
 /** Creates the client for questions to peers; it asks one at a time. */
 export function createNewsClient(): HttpClient {
   return createHttpClient({
@@ -119,16 +125,10 @@
   return body;
 }
 
-/** Largest state that is taken from a peer, bytes. */
-const MAX_STATE_BYTES = 67_108_864;
-
 function inflate(body: Buffer): Buffer {
   return inflateRawSync(body, {maxOutputLength: MAX_STATE_BYTES});
 }
 
-/** Age that stands for every longer one, ms. */
-const MAX_AGE_MS = 3_600_000;
-
 /** Answers all peers that wait for news. */
 export function wakeNewsWaiters({newsWaiters}: SidecarBoard): void {
   for (const finish of [...newsWaiters]) finish();
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,10 +1,77 @@
 import {renderMetrics} from '../daemon/metrics.js';
-import {isGateCold} from '../internal.js';
+import {count, isGateCold} from '../internal.js';
 import {type SidecarBoard, isSidecarReady} from './board.js';
-import {type Server, createServer} from 'node:http';
+import type {Entry} from './entry.js';
+import {
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
 import type {Duplex} from 'node:stream';
 import polka from 'polka';
 
+/** Largest header block that the HTTP parser accepts, bytes; the limit of the
+ * configuration is checked after it. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** Time after which an idle connection of another daemon is closed, ms. */
+const PEER_IDLE_MS = 30_000;
+
+/** Interval at which connections with late headers are looked for, ms. */
+const HEADER_CHECK_MS = 500;
+
+/** Creates the server for customers. */
+export function createCustomerServer(
+  board: SidecarBoard,
+  entry: Entry,
+): Server {
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    connectionsCheckingInterval: HEADER_CHECK_MS,
+    requestTimeout: 0,
+  });
+  server.on('request', entry);
+  server.on('clientError', (err: Error, socket: Duplex) => {
+    count(board, 'entry_bad_http');
+    if (entry.isBusy(socket)) socket.destroy();
+    else answerClientError(err, socket);
+  });
+  return server;
+}
+
+/** Creates the server for other daemons. */
+export function createPeerServer(handle: RequestListener): Server {
+  const options = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    keepAliveTimeout: PEER_IDLE_MS,
+    requestTimeout: 0,
+  };
+  return createServer(options, handle);
+}
+
+/** Creates the server for daemons that have just started. */
+export function createControlServer(
+  {log}: SidecarBoard,
+  serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
+): Server {
+  return createServer((req, res) => {
+    serve(req, res).catch((err: Error) => {
+      log.write('notable', 'controlError', {error: err.message});
+      res.destroy();
+    });
+  });
+}
+
+/** Sets the times that the configuration allows a customer's connection. */
+export function applyLimits(server: Server, {table}: SidecarBoard): void {
+  if (!table) return;
+  const {idleTimeoutMs, headerTimeoutMs} = table.config.limits;
+  server.keepAliveTimeout = idleTimeoutMs;
+  server.headersTimeout = headerTimeoutMs;
+}
+
 /** Creates the server that says whether the daemon is ready. */
 export function createReadyServer(board: SidecarBoard, path: string): Server {
   const app = polka();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-  type CrashReport,
   type HeaderNames,
   type KeyChange,
   type KeyValueStore,
@@ -8,55 +7,36 @@
   type SidecarSettings,
   type StoreNews,
   type StoreFollow,
-  count,
   createRandom,
   expireUpstreams,
   pruneTargets,
   startStoreFollow,
 } from '../internal.js';
-import {
-  type SidecarBoard,
-  createSidecarBoard,
-  findOwnUpstream,
-} from './board.js';
+import {type SidecarBoard, createSidecarBoard} from './board.js';
+import {CRASH_REPORT_MS, createCrashReporter} from './crash_reports.js';
 import {type DecisionLog, createDecisionLog} from './decision_log.js';
 import {createSidecarEntry} from './entry.js';
 import {createHttpClient} from './http_client.js';
-import {
-  CRASH_PATH,
-  createInbound,
-  serveControl,
-  takeCrashes,
-} from './inbound.js';
-import {takeNews} from './news.js';
-import {startPeerProbe} from './peer_probe.js';
+import {createInbound, serveControl} from './inbound.js';
+import {createSourceNotes, takeNews} from './news.js';
 import {createSidecarOwner} from './owner.js';
 import {
   createNewsClient,
   createNewsPeers,
   wakeNewsWaiters,
 } from './peer_news.js';
-import {createSourceNotes} from './news.js';
+import {startPeerProbe} from './peer_probe.js';
 import {
-  answerClientError,
+  applyLimits,
   closePort,
+  createControlServer,
+  createCustomerServer,
   createMetricsServer,
+  createPeerServer,
   createReadyServer,
   openPort,
 } from './servers.js';
 import {randomInt} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
-import type {Duplex} from 'node:stream';
-
-/** Largest header block that the HTTP parser accepts, bytes; the limit of the
- * configuration is checked after it. */
-const MAX_HEADER_BYTES = 65_536;
-
-/** Time after which an idle connection of another daemon is closed, ms. */
-const PEER_IDLE_MS = 30_000;
-
-/** Interval at which connections with late headers are looked for, ms. */
-const HEADER_CHECK_MS = 500;
 
 /** Time after SIGTERM for which new requests are taken, ms: two readiness
  * checks, one second apart, must fail before customers go elsewhere. */
@@ -69,9 +49,6 @@
 /** Interval at which a stopping process looks for running requests, ms. */
 const STOP_POLL_MS = 50;
 
-/** Time for a report of a crash to reach another daemon, ms. */
-const CRASH_REPORT_MS = 1_000;
-
 /** A running sidecar. */
 export interface Sidecar {
   readonly board: SidecarBoard;
@@ -124,51 +101,13 @@
     keepAliveMs: CRASH_REPORT_MS,
   });
   const newsClient = createNewsClient();
-  const owner = createSidecarOwner(board, fingerprints => {
-    const own = findOwnUpstream(board);
-    if (!own) return;
-    const {service, id: upstream} = own;
-    const reports = fingerprints.map(fingerprint => {
-      return {fingerprint, service, upstream, crashes: 1, ageMs: 0};
-    });
-    takeCrashes(board, reports);
-    tellPeers(reports);
-  });
-  const tellPeers = (reports: CrashReport[]): void => {
-    const hosts = new Set([...board.list.byId.values()].map(item => item.host));
-    hosts.delete(settings.host);
-    const body = Buffer.from(JSON.stringify(reports));
-    const request = {method: 'POST', path: CRASH_PATH, headers: [], body};
-    for (const host of hosts) {
-      const origin = `http://${host}:${settings.peerPort}`;
-      const call = control.send(origin, request, now());
-      setTimeout(() => call.abort(), CRASH_REPORT_MS);
-    }
-  };
+  const owner = createSidecarOwner(board, createCrashReporter(board, control));
   const entry = createSidecarEntry(board, owner);
-  const customerServer = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    connectionsCheckingInterval: HEADER_CHECK_MS,
-    requestTimeout: 0,
-  });
-  customerServer.on('request', entry);
-  customerServer.on('clientError', (err: Error, socket: Duplex) => {
-    count(board, 'entry_bad_http');
-    if (entry.isBusy(socket)) socket.destroy();
-    else answerClientError(err, socket);
-  });
-  const peerServer = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    keepAliveTimeout: PEER_IDLE_MS,
-    requestTimeout: 0,
-  });
-  peerServer.on('request', createInbound(board, owner));
-  const controlServer = createServer((req, res) => {
-    serveControl(board, owner, req, res).catch((err: Error) => {
-      log.write('notable', 'controlError', {error: err.message});
-      res.destroy();
-    });
-  });
+  const customerServer = createCustomerServer(board, entry);
+  const peerServer = createPeerServer(createInbound(board, owner));
+  const controlServer = createControlServer(board, (req, res) =>
+    serveControl(board, owner, req, res),
+  );
   const readyServer = createReadyServer(board, deps.readyPath);
   const metricsServer = createMetricsServer(board);
 
@@ -185,11 +124,12 @@
     applyLimits(customerServer, board);
     wakeNewsWaiters(board);
   };
-  await openPort(customerServer, settings.customerPort, settings.host);
-  await openPort(peerServer, settings.peerPort, settings.host);
-  await openPort(controlServer, settings.controlPort, settings.host);
-  await openPort(readyServer, settings.readyPort, settings.host);
-  await openPort(metricsServer, settings.metricsPort, settings.host);
+  const {host} = settings;
+  await openPort(customerServer, settings.customerPort, host);
+  await openPort(peerServer, settings.peerPort, host);
+  await openPort(controlServer, settings.controlPort, host);
+  await openPort(readyServer, settings.readyPort, host);
+  await openPort(metricsServer, settings.metricsPort, host);
   const servers = [
     customerServer,
     peerServer,
@@ -252,11 +192,3 @@
     },
   };
 }
-
-/** Sets the times that the configuration allows a customer's connection. */
-function applyLimits(server: Server, {table}: SidecarBoard): void {
-  if (!table) return;
-  const {idleTimeoutMs, headerTimeoutMs} = table.config.limits;
-  server.keepAliveTimeout = idleTimeoutMs;
-  server.headersTimeout = headerTimeoutMs;
-}
