--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -44,7 +44,7 @@
     this.boot++;
     const file = join(this.dir, `${this.name}.json`);
     writeFileSync(file, JSON.stringify(this.settings));
-    const child = spawn(process.execPath, [PROGRAM], {
+    const child = spawn(process.execPath, [...process.execArgv, PROGRAM], {
       env: {...process.env, BERYLBEND_NODE_FILE: file},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
