--- a/__tests__/support/sidecar_rig.ts
+++ b/__tests__/support/sidecar_rig.ts
@@ -8,12 +8,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {ExecutionContext} from 'ava';
-import {
-  decodeEntry,
-  HEADER_NAMES,
-  READY_PATH,
-  STORE_PREFIX,
-} from '../../platform/decode.js';
+import {PLATFORM, READY_PATH} from '../../platform/decode.js';
 import type {SidecarSettings} from '../../src/internal.js';
 import {createDecisionLog} from '../../src/sidecar/decision_log.js';
 import {startSidecar, type Sidecar} from '../../src/sidecar/sidecar.js';
@@ -209,11 +204,8 @@
       resends: {ratio: 0.2, slack: 50, windowMs: 10_000},
     };
     const sidecar = await startSidecar({
+      ...PLATFORM,
       settings,
-      names: HEADER_NAMES,
-      readyPath: READY_PATH,
-      prefix: STORE_PREFIX,
-      decode: decodeEntry,
       log: createDecisionLog({
         id,
         dataCentre,
--- a/src/core/peer_contact.ts
+++ b/src/core/peer_contact.ts
@@ -80,7 +80,7 @@
   );
 }
 
-/** Forgets hosts that are no longer listed. */
+/** Forgets hosts that are no longer listed and owe nothing. */
 export function pruneContacts(
   contacts: PeerContacts,
   listed: ReadonlySet<string>,
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -1,5 +1,7 @@
 import type {MeshConfig, MeshUpstream} from '../types/mesh.js';
+import {computeBackoff} from '../utils/backoff.js';
 import {hash32, rankByRendezvous} from '../utils/hash.js';
+import type {Random} from '../utils/random.js';
 import {
   applyEvents,
   applyMirrorState,
@@ -52,9 +54,9 @@
 /** Pause after a watch that brought changes, ms: one call then brings several. */
 export const COALESCE_MS = 200;
 
-/** Pause before the store is read again after a failed call, ms; it doubles
- * from a random start, since all calls are priced, refused ones as well. */
-export const STORE_RETRY_MS = {shortest: 250, spread: 450, longest: 1_500};
+/** Pause before the store is read again after a failed call, ms; it grows, as
+ * all calls are priced, refused ones as well. */
+export const STORE_RETRY_MS = {shortest: 250, longest: 1_500};
 
 /** Time for which a daemon that gave no fresh answer is not asked, ms. */
 const AVOID_MS = {shortest: 1_000, longest: 8_000};
@@ -108,7 +110,7 @@
   readonly onRegained: () => void;
   /** The source of news has changed. */
   readonly onSource: (source: string) => void;
-  readonly random: () => number;
+  readonly random: Random;
   /** Monotonic clock, ms. */
   readonly now: () => number;
 }
@@ -121,8 +123,8 @@
 }
 
 interface Avoided {
-  until: number;
-  ms: number;
+  readonly until: number;
+  readonly attempts: number;
 }
 
 interface FollowState {
@@ -234,8 +236,7 @@
     if (changes.length > 0 && waitMs > 0) await pause(COALESCE_MS);
   } catch (err) {
     if (state.stopped) return;
-    const {shortest, spread, longest} = STORE_RETRY_MS;
-    avoid(state, own, shortest + deps.random() * spread, longest);
+    avoid(state, own, STORE_RETRY_MS);
     state.stale = true;
     deps.onFault(err as Error, !state.faulty);
     state.faulty = true;
@@ -252,12 +253,14 @@
 function avoid(
   state: FollowState,
   address: string,
-  firstMs: number,
-  longestMs: number,
+  {shortest, longest}: {shortest: number; longest: number},
 ): void {
-  const before = state.avoided.get(address)?.ms;
-  const ms = before === undefined ? firstMs : Math.min(longestMs, before * 2);
-  state.avoided.set(address, {ms, until: state.deps.now() + ms});
+  const {avoided, deps} = state;
+  const attempts = avoided.get(address)?.attempts ?? 0;
+  const ms =
+    shortest +
+    computeBackoff(attempts, shortest, longest - shortest, deps.random);
+  avoided.set(address, {until: deps.now() + ms, attempts: attempts + 1});
 }
 
 /** Asks the reader; reads the store at once when its answer is not fresh. */
@@ -269,7 +272,7 @@
     state.avoided.delete(address);
     return;
   }
-  avoid(state, address, AVOID_MS.shortest, AVOID_MS.longest);
+  avoid(state, address, AVOID_MS);
   // The reader may have missed what this daemon must act on in time.
   if (!isAvoided(state, peers.own)) await readStore(state, 0);
 }
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -19,6 +19,8 @@
 export interface UpstreamList {
   readonly byId: Map<string, ListedUpstream>;
   byService: ReadonlyMap<string, readonly ListedUpstream[]>;
+  /** Youngest upstream at each address (host:port). */
+  byAddress: ReadonlyMap<string, ListedUpstream>;
   readonly takenOut: Set<string>;
   /** True once the list has been read whole. */
   complete: boolean;
@@ -31,6 +33,7 @@
   return {
     byId: new Map(),
     byService: new Map(),
+    byAddress: new Map(),
     takenOut: new Set(),
     complete: false,
     doubtUntil: -Infinity,
@@ -49,7 +52,7 @@
   const coldUntil = now + record.coldMs;
   list.byId.set(record.id, {...record, coldUntil});
   dropPredecessors(list, record);
-  indexByService(list);
+  indexList(list);
   return (
     !known ||
     known.state !== record.state ||
@@ -81,7 +84,7 @@
     return false;
   }
   list.byId.delete(id);
-  indexByService(list);
+  indexList(list);
   return true;
 }
 
@@ -97,18 +100,30 @@
     if (goneAt !== undefined && now >= goneAt) expired.push(id);
   }
   for (const id of expired) list.byId.delete(id);
-  if (expired.length > 0) indexByService(list);
+  if (expired.length > 0) indexList(list);
   return expired;
 }
 
-function indexByService(list: UpstreamList): void {
+function indexList(list: UpstreamList): void {
   const byService = new Map<string, ListedUpstream[]>();
+  const byAddress = new Map<string, ListedUpstream>();
   for (const upstream of list.byId.values()) {
     const group = byService.get(upstream.service);
     if (group) group.push(upstream);
     else byService.set(upstream.service, [upstream]);
+    const address = `${upstream.host}:${upstream.port}`;
+    const other = byAddress.get(address);
+    if (!other || upstream.bornAt > other.bornAt) {
+      byAddress.set(address, upstream);
+    }
   }
   list.byService = byService;
+  list.byAddress = byAddress;
+}
+
+/** Hosts of all listed upstreams; each has a daemon beside it. */
+export function listHosts({byId}: UpstreamList): string[] {
+  return [...new Set([...byId.values()].map(({host}) => host))];
 }
 
 /** Finds the youngest upstream at an address. */
@@ -117,10 +132,5 @@
   host: string,
   port: number,
 ): ListedUpstream | undefined {
-  let youngest: ListedUpstream | undefined;
-  for (const upstream of list.byId.values()) {
-    if (upstream.host !== host || upstream.port !== port) continue;
-    if (!youngest || upstream.bornAt > youngest.bornAt) youngest = upstream;
-  }
-  return youngest;
+  return list.byAddress.get(`${host}:${port}`);
 }
--- a/src/sidecar/crash_reports.ts
+++ b/src/sidecar/crash_reports.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {noteCrashes, type CrashReport} from '../internal.js';
+import {listHosts, noteCrashes, type CrashReport} from '../internal.js';
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {HttpClient} from './http_client.js';
 
@@ -50,11 +50,10 @@
   client: HttpClient,
   reports: readonly CrashReport[],
 ): void {
-  const hosts = new Set([...list.byId.values()].map(item => item.host));
-  hosts.delete(settings.host);
   const body = Buffer.from(JSON.stringify(reports));
   const request = {method: 'POST', path: CRASH_PATH, headers: [], body};
-  for (const host of hosts) {
+  for (const host of listHosts(list)) {
+    if (host === settings.host) continue;
     const origin = `http://${host}:${settings.peerPort}`;
     const call = client.send(origin, request, now());
     setTimeout(() => call.abort(), CRASH_REPORT_MS);
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -7,7 +7,6 @@
   admit,
   computeMaxWaitMs,
   count,
-  findByAddress,
   isGateCold,
   noteFinished,
   release,
@@ -17,13 +16,17 @@
 } from '../internal.js';
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
-import {readOne} from './header_copy.js';
 import {
-  type HttpAnswer,
   type HttpCall,
   type HttpResult,
   createHttpClient,
 } from './http_client.js';
+import {
+  judgeAnswer,
+  judgeArrival,
+  judgeList,
+  logRefusal,
+} from './owner_judge.js';
 import {
   type OwnerState,
   noteBreak,
@@ -132,31 +135,6 @@
   schedulePump(state);
 }
 
-/** Reasons not to take a request at all. */
-function judgeArrival(
-  state: OwnerState,
-  request: ForwardRequest,
-): Outcome | undefined {
-  // What is taken now could not end before the process does.
-  if (state.board.closed) return 'leaving';
-  return judgeList(state, request);
-}
-
-/** Reasons not to run a request that follow from the platform's list. */
-function judgeList(
-  {board}: OwnerState,
-  request: ForwardRequest,
-): Outcome | undefined {
-  const {list, settings} = board;
-  if (list.takenOut.has(settings.dataCentre)) return 'dataCentreOut';
-  const {host, port} = settings.upstream;
-  const own = findByAddress(list, host, port);
-  if (own && own.id !== request.upstreamId) return 'wrongOwner';
-  if (own?.state === 'leaving') return 'leaving';
-  if (!own && list.complete) return 'leaving';
-  return undefined;
-}
-
 function submitForward(
   state: OwnerState,
   request: ForwardRequest,
@@ -189,7 +167,7 @@
     start: () => {
       clearTimeout(timer);
       // What the list says may have changed while the request waited.
-      const outcome = judgeList(state, request);
+      const outcome = judgeList(board, request);
       if (outcome) {
         release(board.gate, request.route, 0, 'cancelled', board.now());
         refuse(outcome, 0);
@@ -207,7 +185,7 @@
     refuse,
   };
   state.active++;
-  const outcome = judgeArrival(state, request);
+  const outcome = judgeArrival(board, request);
   if (outcome) refuse(outcome, 0);
   else admit(board.gate, work, arrivedAt);
   if (!over && !call) {
@@ -305,41 +283,3 @@
   noteFinished(board.suspects, request.fingerprint, now);
   end({kind: 'answer', answer});
 }
-
-/** Says whether an answer is the upstream's own answer to this request. */
-function judgeAnswer(
-  {names}: SidecarBoard,
-  request: ForwardRequest,
-  {status, headers}: HttpAnswer,
-): 'own' | 'notRun' | 'crossed' {
-  const id = readOne(headers, names.requestId);
-  // An answer with another id was sent late for an earlier request.
-  if (id !== undefined && id !== request.requestId) return 'crossed';
-  if (headers[names.notRun] !== undefined || status === 421) return 'notRun';
-  if (headers['content-encoding'] !== undefined) return 'crossed';
-  const signed = headers[names.signature] !== undefined;
-  if (status < 400 && (!signed || id === undefined)) return 'crossed';
-  return 'own';
-}
-
-function logRefusal(
-  board: SidecarBoard,
-  request: ForwardRequest,
-  outcome: Outcome,
-  arrived: boolean,
-): void {
-  const {gate} = board;
-  board.log.write('notable', 'ownerRefused', {
-    request: request.requestId,
-    outcome,
-    arrived,
-    upstream: request.upstreamId,
-    inFlight: gate.inFlight,
-    queued: gate.waiting.length,
-    slots: gate.slots,
-    meanMs: Math.round(gate.meanMs),
-    cold: isGateCold(gate, board.now()),
-    limitMs: Math.round(request.limitMs),
-    goalMs: Math.round(request.goalMs),
-  });
-}
--- a/src/sidecar/peer_news.ts
+++ b/src/sidecar/peer_news.ts
@@ -5,6 +5,7 @@
   count,
   FRESH_MS,
   HEADERS,
+  listHosts,
   mirrorStateSchema,
   POLL_MS,
   rankReaders,
@@ -168,10 +169,11 @@
 function pickAny(board: SidecarBoard): string | undefined {
   const {settings, list, random} = board;
   const own = `${settings.host}:`;
-  const listed = [...list.byId.values()].map(
-    item => `${item.host}:${settings.peerPort}`,
-  );
-  const addresses = listed.length > 1 ? listed : settings.seeds;
+  const hosts = listHosts(list);
+  const addresses =
+    hosts.length > 1
+      ? hosts.map(host => `${host}:${settings.peerPort}`)
+      : settings.seeds;
   const peers = addresses.filter(address => !address.startsWith(own));
   return peers[Math.floor(random() * peers.length)];
 }
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -11,20 +11,16 @@
   noteHeard,
   noteSilent,
   parseReport,
-  pruneContacts,
   readmitTarget,
 } from '../internal.js';
 import type {SidecarBoard} from './board.js';
 import type {ForwardCall, ForwardReply} from './forward.js';
 import {readOne} from './header_copy.js';
-import {createHttpClient} from './http_client.js';
+import {type HttpClient, createHttpClient} from './http_client.js';
 
 /** Path at which a daemon answers that it is alive, with its load. */
 export const ALIVE_PATH = '/.well-known/berylbend/alive';
 
-/** Interval at which quiet daemons are looked for, ms. */
-const CHECK_MS = 50;
-
 /**
  * Awaits the answer of another daemon. When that daemon falls silent, a request
  * that may run again ends as broken; any other waits on.
@@ -57,35 +53,30 @@
   });
 }
 
-/**
- * Probes daemons that owe an answer and have not been heard of, so that one
- * that is cut off or has lost its power costs the requests of a moment and not
- * those of the seconds until its entry lapses. Returns the function to stop.
- */
-export function startPeerProbe(board: SidecarBoard): () => Promise<void> {
-  const client = createHttpClient({
+/** Creates the client for probes. */
+export function createProbeClient(): HttpClient {
+  return createHttpClient({
     // A new connection for each probe: kept ones may have gone silent alone.
     connections: 1,
     connectTimeoutMs: PROBE_TIMEOUT_MS,
     keepAliveMs: 1,
   });
-  const timer = setInterval(() => {
-    const now = board.now();
-    const listed = [...board.list.byId.values()].map(({host}) => host);
-    pruneContacts(board.contacts, new Set(listed));
-    for (const host of listQuiet(board.contacts, now)) {
-      void probe(board, client, host);
-    }
-  }, CHECK_MS);
-  return () => {
-    clearInterval(timer);
-    return client.close();
-  };
+}
+
+/**
+ * Probes daemons that owe an answer and have not been heard of, so that one
+ * that is cut off or has lost its power costs the requests of a moment and not
+ * those of the seconds until its entry lapses.
+ */
+export function probeQuiet(board: SidecarBoard, client: HttpClient): void {
+  for (const host of listQuiet(board.contacts, board.now())) {
+    void probe(board, client, host);
+  }
 }
 
 async function probe(
   board: SidecarBoard,
-  client: ReturnType<typeof createHttpClient>,
+  client: HttpClient,
   host: string,
 ): Promise<void> {
   const contact = findContact(board.contacts, host);
@@ -138,6 +129,11 @@
   contact: PeerContact,
 ): void {
   const now = board.now();
+  const upstreams = listUpstreams(board, host);
+  if (upstreams.length === 0 && contact.open.size === 0) {
+    board.contacts.delete(host);
+    return;
+  }
   if (!contact.silent) {
     count(board, 'peer_silences');
     board.log.write('always', 'peerSilent', {
@@ -147,7 +143,7 @@
     });
   }
   // Holds until the next probe has ended.
-  for (const id of listUpstreams(board, host)) {
+  for (const id of upstreams) {
     holdTarget(board.balance, id, SILENT_PROBE_MS + 2 * PROBE_TIMEOUT_MS, now);
   }
   noteSilent(contact);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -9,6 +9,8 @@
   type StoreFollow,
   createRandom,
   expireUpstreams,
+  listHosts,
+  pruneContacts,
   pruneTargets,
   startStoreFollow,
 } from '../internal.js';
@@ -25,7 +27,7 @@
   createNewsPeers,
   wakeNewsWaiters,
 } from './peer_news.js';
-import {startPeerProbe} from './peer_probe.js';
+import {createProbeClient, probeQuiet} from './peer_probe.js';
 import {
   applyLimits,
   closePort,
@@ -101,6 +103,7 @@
     keepAliveMs: CRASH_REPORT_MS,
   });
   const newsClient = createNewsClient();
+  const probeClient = createProbeClient();
   const owner = createSidecarOwner(board, createCrashReporter(board, control));
   const entry = createSidecarEntry(board, owner);
   const customerServer = createCustomerServer(board, entry);
@@ -120,6 +123,7 @@
       if (item) takeNews(board, item, at);
     }
     pruneTargets(board.balance, board.list.byId);
+    pruneContacts(board.contacts, new Set(listHosts(board.list)));
     owner.sync();
     applyLimits(customerServer, board);
     wakeNewsWaiters(board);
@@ -137,9 +141,9 @@
     readyServer,
     metricsServer,
   ];
-  const stopProbe = startPeerProbe(board);
   const ticker = setInterval(() => {
     board.lag.read();
+    probeQuiet(board, probeClient);
     for (const upstream of expireUpstreams(board.list, now())) {
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
     }
@@ -186,9 +190,9 @@
       clearInterval(ticker);
       for (const server of servers) server.closeAllConnections();
       await Promise.all(servers.map(closePort));
-      const clients = [entry, control, newsClient];
+      const clients = [entry, control, newsClient, probeClient];
       await Promise.all(clients.map(client => client.close()));
-      await Promise.all([owner.stop(), stopProbe()]);
+      await owner.stop();
     },
   };
 }
