--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -19,6 +19,9 @@
 /** Time after which an idle connection of another daemon is closed, ms. */
 const PEER_KEEP_ALIVE_MS = 30_000;
 
+/** Largest time that a gauge shows, ms. */
+const MAX_GAUGE_MS = 3_600_000;
+
 /** Interval of the check for connections whose headers are overdue, ms. */
 const HEADER_CHECK_MS = 500;
 
@@ -112,9 +115,16 @@
     upstream_down: Number(limiter.down),
     log_lines_dropped: board.log.countDropped(),
     ready: Number(isSidecarReady(board)),
+    store_copy_age_ms: limitGauge(board.readMirrorAge()),
+    loop_lag_ms: limitGauge(board.lag.read()),
   };
 }
 
+/** Bounds a time that is infinite before the first event, ms. */
+function limitGauge(ms: number): number {
+  return Math.min(Math.round(ms), MAX_GAUGE_MS);
+}
+
 /** Status lines for malformed or incomplete requests, by error code. */
 const CLIENT_ERRORS: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -14,6 +14,7 @@
   pruneTargets,
   startStoreFollower,
 } from '../internal.js';
+import {recordLatency} from '../daemon/metrics.js';
 import {type SidecarBoard, createSidecarBoard} from './board.js';
 import {CRASH_REPORT_TIMEOUT_MS, createCrashReporter} from './crash_reports.js';
 import {type DecisionLog, createDecisionLog} from './decision_log.js';
@@ -145,7 +146,7 @@
     metricsServer,
   ];
   const ticker = setInterval(() => {
-    board.lag.read();
+    recordLatency(board.metrics, 'loop_lag', board.lag.read());
     probeQuietPeers(board, probeClient);
     for (const upstream of expireUpstreams(board.list, now())) {
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
