--- /dev/null
+++ b/__tests__/peer_probe.test.ts
@@ -0,0 +1,76 @@
+import test from 'ava';
+import {
+  PROBE_AFTER_MS,
+  getOrCreateContact,
+  type PeerContacts,
+} from '../src/internal.js';
+import type {SidecarBoard} from '../src/sidecar/board.js';
+import type {HttpClient, HttpResult} from '../src/sidecar/http_client.js';
+import {probeQuietPeers} from '../src/sidecar/peer_probe.js';
+
+const HOST = '10.0.0.2';
+
+/** A board with one daemon that owes an answer, and a client that records. */
+function createHarness() {
+  const contacts: PeerContacts = new Map();
+  const contact = getOrCreateContact(contacts, HOST);
+  const state = {lagMs: 0, probes: 0, gaveUp: 0};
+  const giveUp = () => state.gaveUp++;
+  contact.open.add({sentAt: 0, giveUp});
+  const board = {
+    contacts,
+    settings: {peerPort: 1},
+    list: {byId: new Map()},
+    balance: new Map(),
+    counters: new Map(),
+    lag: {read: () => state.lagMs},
+    log: {write: () => undefined},
+    now: () => 2 * PROBE_AFTER_MS,
+  } as unknown as SidecarBoard;
+  let settle!: (result: HttpResult) => void;
+  const client: HttpClient = {
+    send: () => {
+      state.probes++;
+      const result = new Promise<HttpResult>(resolve => (settle = resolve));
+      return {result, abort: () => undefined};
+    },
+    close: () => Promise.resolve(),
+  };
+  const probe = () => probeQuietPeers(board, client);
+  const failProbe = async () => {
+    settle({kind: 'aborted', written: true});
+    await new Promise(resolve => setImmediate(resolve));
+  };
+  return {state, contact, probe, failProbe};
+}
+
+// An overloaded daemon took all others for silent: it ended their requests and
+// sent as many probes as requests, which kept it overloaded.
+test.failing('a daemon with a busy event loop does not probe others', t => {
+  const {state, probe} = createHarness();
+  state.lagMs = 400;
+  probe();
+  t.is(state.probes, 0);
+  state.lagMs = 0;
+  probe();
+  t.is(state.probes, 1);
+});
+
+// The same for a probe that was sent before the event loop became busy.
+test.failing(
+  'a probe that fails while the event loop is busy says nothing',
+  async t => {
+    const {state, contact, probe, failProbe} = createHarness();
+    probe();
+    state.lagMs = 400;
+    await failProbe();
+    t.false(contact.silent);
+    t.is(state.gaveUp, 0);
+    contact.probedAt = -Infinity;
+    state.lagMs = 0;
+    probe();
+    await failProbe();
+    t.true(contact.silent);
+    t.is(state.gaveUp, 1);
+  },
+);
--- /dev/null
+++ b/__tests__/stale_copy.test.ts
@@ -0,0 +1,84 @@
+import test, {type ExecutionContext} from 'ava';
+import {HEADERS, recordTargetSend} from '../src/internal.js';
+import {STATE_PATH} from '../src/sidecar/peer_state.js';
+import {answerOk, startHarness, until} from './support/sidecar_harness.js';
+
+/** Age of a copy that is too old for every bound of the platform, ms. */
+const OLD_MS = 2_000;
+
+/** Time after which a read of the store without an answer fails, ms. */
+const STORE_TIMEOUT_MS = 500;
+
+/** What the peer does with requests, by kind. */
+interface PeerBehaviour {
+  /** Age in its answers to polls, ms; undefined: polls get no answer. */
+  pollAgeMs: number | undefined;
+  /** Whether it answers probes and forwarded requests. */
+  answers: boolean;
+}
+
+/**
+ * Starts a daemon with one peer, stops the store from answering, and waits
+ * until the daemon's copy is old. Requests are sent meanwhile, so that the
+ * daemon has contact with the peer.
+ */
+async function startStale(t: ExecutionContext, peer: PeerBehaviour) {
+  const harness = await startHarness(t, ['dc1']);
+  const {board} = harness.sidecars[0];
+  await harness.addPeer(t, 'dc1', (req, res) => {
+    if (req.url?.startsWith(STATE_PATH)) {
+      if (peer.pollAgeMs === undefined) return;
+      res.writeHead(204, {[HEADERS.ageMs]: String(peer.pollAgeMs)}).end();
+      return;
+    }
+    if (!peer.answers) return;
+    res.setHeader(HEADERS.load, '0,0,8,10,0,0');
+    if (req.headers[HEADERS.terms] === undefined) res.writeHead(204).end();
+    else answerOk(req, res, 'peer');
+  });
+  await until(() => board.list.byId.has('peer'));
+  harness.store.watch = (_prefix, _after, waitMs) =>
+    new Promise((_resolve, reject) => {
+      setTimeout(reject, waitMs + STORE_TIMEOUT_MS, new Error('no answer'));
+    });
+  const sendToPeer = () => {
+    // The local upstream counts as busy, so that the peer is chosen first.
+    for (let i = 0; i < 50; i++) recordTargetSend(board.balance, 'u0');
+    return harness.send(0, {path: '/slow/1', deadlineMs: 5_000});
+  };
+  while (board.readMirrorAge() < OLD_MS) {
+    await sendToPeer();
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  return {harness, board, sendToPeer};
+}
+
+// Requests were handled as an old configuration says, and sent to upstreams
+// that had left, by daemons that had handled no update for seconds.
+test.serial.failing(
+  'a daemon that misses updates refuses requests',
+  async t => {
+    const peer = {pollAgeMs: undefined, answers: true};
+    const {harness, sendToPeer} = await startStale(t, peer);
+    const [{runs}] = harness.upstreams;
+    const before = runs.length;
+    t.is((await sendToPeer()).status, 503);
+    t.is((await harness.send(0)).status, 503);
+    t.is(runs.length, before);
+    t.is(await harness.readReady(0), 503);
+  },
+);
+
+test.serial('a daemon serves on while peers report an outage', async t => {
+  const peer = {pollAgeMs: 60_000, answers: true};
+  const {harness, sendToPeer} = await startStale(t, peer);
+  t.is((await sendToPeer()).status, 200);
+  t.is(await harness.readReady(0), 200);
+});
+
+test.serial('a daemon that is cut off from all others serves on', async t => {
+  const peer = {pollAgeMs: undefined, answers: false};
+  const {harness} = await startStale(t, peer);
+  t.is((await harness.send(0)).status, 200);
+  t.is(await harness.readReady(0), 200);
+});
