Probe other daemons only when the own event loop is not busy

Cause: a daemon probes another one that owes a reply and sent nothing for 200 ms, on a connection of its own, and takes it for silent after 400 ms. A daemon with a busy event loop reads replies and probes late, so it probed all others, ended their requests as broken and had more to do.

Change: no probe while the event loop lags, and a probe that fails while it lags says nothing. A daemon is probed after twice the time in which its reply is expected (0.2 to 0.8 s) instead of after 0.2 s.

--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -166,6 +166,21 @@
   return score;
 }
 
+/** Expected time to the reply for a request that is sent now, ms; 0 when the
+ * load of the upstream is unknown. */
+export function predictReplyMs(
+  state: BalanceState,
+  id: string,
+  now: number,
+): number {
+  const stats = state.get(id);
+  const report = stats && getFreshReport(stats, now);
+  if (!report) return 0;
+  const {inFlight, queued, slots, meanMs} = report;
+  const waiting = Math.max(0, inFlight + queued + 1 - slots);
+  return meanMs * (1 + waiting / slots);
+}
+
 /** Records that a request was sent. */
 export function recordTargetSend(state: BalanceState, id: string): void {
   const stats = getTargetStats(state, id);
--- a/src/core/peer_contact.ts
+++ b/src/core/peer_contact.ts
@@ -1,9 +1,15 @@
 /**
- * Time without a message from a daemon with open requests after which it is
- * probed, ms. Most upstreams answer sooner, so probes are rare.
+ * Shortest time without a message from a daemon with open requests after which
+ * it is probed, ms.
  */
 export const PROBE_AFTER_MS = 200;
 
+/** Longest such time, ms, for daemons whose replies take long. */
+export const MAX_PROBE_AFTER_MS = 800;
+
+/** Multiple of the expected reply time after which a daemon is probed. */
+const PROBE_AFTER_REPLIES = 2;
+
 /** Timeout of a probe, ms: long enough to retransmit a lost packet. */
 export const PROBE_TIMEOUT_MS = 400;
 
@@ -13,6 +19,8 @@
 /** A forwarded request that has no answer yet. */
 export interface OpenForward {
   readonly sentAt: number;
+  /** Time without a message after which the daemon is probed, ms. */
+  readonly probeAfterMs: number;
   /** Stops waiting; absent when only the answer may end the wait. */
   readonly giveUp?: () => void;
 }
@@ -66,6 +74,13 @@
   for (const {giveUp} of [...contact.open]) giveUp?.();
 }
 
+/** Time to wait for a reply that is expected after `replyMs` before the daemon
+ * is probed, ms. */
+export function computeProbeAfterMs(replyMs: number): number {
+  const waitMs = PROBE_AFTER_REPLIES * replyMs;
+  return Math.min(MAX_PROBE_AFTER_MS, Math.max(PROBE_AFTER_MS, waitMs));
+}
+
 /** Lists the hosts whose probe is due. */
 export function listHostsToProbe(
   contacts: PeerContacts,
@@ -83,10 +98,9 @@
   if (silent) return now - probedAt >= SILENT_PROBE_MS;
   // Sets keep insertion order, so the first request is the oldest.
   const [oldest] = open;
-  return (
-    oldest !== undefined &&
-    now - Math.max(lastSeenAt, oldest.sentAt) >= PROBE_AFTER_MS
-  );
+  if (oldest === undefined) return false;
+  const quietSince = Math.max(lastSeenAt, probedAt, oldest.sentAt);
+  return now - quietSince >= oldest.probeAfterMs;
 }
 
 /** Removes hosts that are no longer listed and have no open request. */
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -114,7 +114,7 @@
   const repeatable = route?.repeatable ?? false;
   const reply = await (isLocal
     ? call.result
-    : awaitPeerReply(board, upstream.host, call, repeatable));
+    : awaitPeerReply(board, upstream, call, repeatable));
   exchange.call = undefined;
   recordTargetEnd(board.balance, upstream.id, reply.report, board.now());
   return reply;
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -1,9 +1,12 @@
 import {
+  type ListedUpstream,
   type LoadReport,
+  type OpenForward,
   type PeerContact,
   HEADERS,
   PROBE_TIMEOUT_MS,
   SILENT_PROBE_MS,
+  computeProbeAfterMs,
   count,
   getOrCreateContact,
   excludeTarget,
@@ -11,6 +14,7 @@
   markPeerSeen,
   markPeerSilent,
   parseReport,
+  predictReplyMs,
   readmitTarget,
   setReplyTimeout,
 } from '../internal.js';
@@ -19,16 +23,19 @@
 import {readHeader} from './header_copy.js';
 import {type HttpClient, createHttpClient} from './http_client.js';
 
+/** Lag of the event loop above which probes say nothing about others, ms. */
+const MAX_PROBE_LAG_MS = 100;
+
 /** Path of the liveness probe; the answer carries the load of the daemon. */
 export const ALIVE_PATH = '/.well-known/berylbend/alive';
 
 /**
- * Awaits the reply of another daemon. When that daemon falls silent, a request
+ * Awaits the reply of the daemon of an upstream. When that daemon falls silent, a request
  * that may run again ends as broken; others keep waiting.
  */
 export function awaitPeerReply(
   board: SidecarBoard,
-  host: string,
+  {id, host}: ListedUpstream,
   call: ForwardCall,
   repeatable: boolean,
 ): Promise<ForwardReply> {
@@ -45,7 +52,13 @@
       call.abort();
     };
     const sentAt = now();
-    const openForward = repeatable ? {sentAt, giveUp} : {sentAt};
+    const replyMs = predictReplyMs(board.balance, id, sentAt);
+    const probeAfterMs = computeProbeAfterMs(replyMs);
+    const openForward: OpenForward = {
+      sentAt,
+      probeAfterMs,
+      giveUp: repeatable ? giveUp : undefined,
+    };
     contact.open.add(openForward);
     void call.result.then(reply => {
       contact.open.delete(openForward);
@@ -78,6 +91,7 @@
  * its list entry expires.
  */
 export function probeQuietPeers(board: SidecarBoard, client: HttpClient): void {
+  if (board.lag.read() > MAX_PROBE_LAG_MS) return;
   for (const host of listHostsToProbe(board.contacts, board.now())) {
     void probe(board, client, host);
   }
@@ -110,7 +124,11 @@
       ? parseReport(readHeader(result.answer.headers, HEADERS.load))
       : undefined;
   if (report) recordSuccess(board, host, contact, report);
-  else if (contact.lastSeenAt < startedAt) recordFailure(board, host, contact);
+  else if (board.lag.read() > MAX_PROBE_LAG_MS) {
+    count(board, 'peer_probes_inconclusive');
+  } else if (contact.lastSeenAt < startedAt) {
+    recordFailure(board, host, contact);
+  }
 }
 
 function recordSuccess(
