Send only the changed parts of a large value to other daemons

Cause: the reader of a data centre answered each poll with the whole changed value, so one version of a configuration of 2,000 routes went to 17 daemons at about 33 KB each (compressed, a synthetic document), more than twice a second in a storm.

Change: a value from 4 KB on is sent as byte ranges of the value that the asking daemon has, and new bytes. Each daemon keeps the last four values as bases; when the base differs, the asking daemon asks for all items. Packed answers are cached by the revision that they start from, several at a time.

--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -302,7 +302,8 @@
     state?.items.map(entry => entry.key),
     ['k/b'],
   );
-  for (const {key, value} of state ? applyMirrorState(mirror, state) : []) {
+  const changes = state && applyMirrorState(mirror, state);
+  for (const {key, value} of changes ?? []) {
     if (value === undefined) known.delete(key);
     else known.set(key, value.toString());
   }
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -145,6 +145,8 @@
   stopped: boolean;
   /** True when all keys must be read. */
   needsFullRead: boolean;
+  /** True when other daemons must be asked for all items. */
+  needsAllItems: boolean;
   faulty: boolean;
   stale: boolean;
   confirmedAt: number;
@@ -177,6 +179,7 @@
     deps,
     stopped: false,
     needsFullRead: true,
+    needsAllItems: false,
     faulty: false,
     stale: false,
     confirmedAt: -Infinity,
@@ -286,13 +289,18 @@
   avoided.set(address, {until: deps.now() + ms, attempts: attempts + 1});
 }
 
+/** Revision after which other daemons are asked for changes; -1 for all. */
+function getAskedRevision({deps, needsAllItems}: FollowerState): number {
+  return needsAllItems ? -1 : (deps.mirror.revision ?? -1);
+}
+
 /** Asks the reader; reads the store at once when its answer is stale. */
 async function followPeer(
   state: FollowerState,
   address: string,
 ): Promise<void> {
-  const {peers, mirror} = state.deps;
-  const update = await peers.ask(address, mirror.revision ?? -1, POLL_MS);
+  const {peers} = state.deps;
+  const update = await peers.ask(address, getAskedRevision(state), POLL_MS);
   if (state.stopped) return;
   if (update && applyPeerUpdate(state, update)) {
     state.avoided.delete(address);
@@ -311,10 +319,13 @@
   const {deps} = state;
   state.answeredAt = deps.now();
   const fresh = ageMs <= FRESH_MS;
+  const changes = peerState && applyMirrorState(deps.mirror, peerState);
+  state.needsAllItems = peerState !== undefined && changes === undefined;
+  if (state.needsAllItems) return fresh;
   if (fresh) markFresh(state, ageMs);
-  if (peerState) {
+  if (changes) {
     state.needsFullRead = false;
-    deps.onChanges(applyMirrorState(deps.mirror, peerState));
+    deps.onChanges(changes);
   }
   return fresh;
 }
@@ -324,12 +335,12 @@
  * a daemon may start during an outage.
  */
 async function askPeer(state: FollowerState): Promise<void> {
-  const {peers, mirror} = state.deps;
+  const {peers} = state.deps;
   const address = peers.pickAny();
   const update =
     address === undefined
       ? undefined
-      : await peers.ask(address, mirror.revision ?? -1, 0);
+      : await peers.ask(address, getAskedRevision(state), 0);
   if (state.stopped) return;
   if (update) applyPeerUpdate(state, update);
   await pause(NO_SOURCE_PAUSE_MS);
--- a/src/core/store_mirror.ts
+++ b/src/core/store_mirror.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {applyDelta, createDelta} from './value_delta.js';
 
 /** Value of a key in the platform's store. */
 export interface StoreItem {
@@ -15,12 +16,20 @@
   readonly revision: number;
 }
 
+/** Size from which a changed value is sent as a delta, bytes. */
+const MIN_DELTA_BYTES = 4_096;
+
+/** Earlier values kept of each large key, as bases of deltas. */
+const MAX_BASES = 4;
+
 /** Copy of the keys with one prefix, as of one revision of the store. */
 export interface StoreMirror {
   readonly prefix: string;
   /** Undefined until all keys have been read. */
   revision: number | undefined;
   readonly items: Map<string, StoreItem>;
+  /** Earlier items of keys with large values, oldest first. */
+  readonly bases: Map<string, StoreItem[]>;
 }
 
 /** A key that may have changed; without a value it was deleted. */
@@ -31,7 +40,7 @@
 
 /** Creates an empty copy. */
 export function createMirror(prefix: string): StoreMirror {
-  return {prefix, revision: undefined, items: new Map()};
+  return {prefix, revision: undefined, items: new Map(), bases: new Map()};
 }
 
 /** Applies the changes up to a revision; only the last one of a key counts. */
@@ -49,11 +58,23 @@
   const {key, value, revision} = event;
   const known = mirror.items.get(key);
   if (known && known.revision >= revision) return [];
-  if (value === undefined) mirror.items.delete(key);
+  if (value === undefined) deleteItem(mirror, key);
   else mirror.items.set(key, {key, value, revision});
+  if (known && value) keepBase(mirror, known);
   return [{key, value}];
 }
 
+function deleteItem({items, bases}: StoreMirror, key: string): void {
+  items.delete(key);
+  bases.delete(key);
+}
+
+function keepBase({bases}: StoreMirror, item: StoreItem): void {
+  if (item.value.length < MIN_DELTA_BYTES) return;
+  const kept = bases.get(item.key) ?? [];
+  bases.set(item.key, [...kept, item].slice(-MAX_BASES));
+}
+
 /** Applies a read of all keys; keys that it lacks are deleted. */
 export function applyFullRead(
   mirror: StoreMirror,
@@ -72,10 +93,14 @@
   present: ReadonlySet<string>,
 ): KeyChange[] {
   const missing = [...mirror.items.keys()].filter(key => !present.has(key));
-  for (const key of missing) mirror.items.delete(key);
+  for (const key of missing) deleteItem(mirror, key);
   return missing.map(key => ({key, value: undefined}));
 }
 
+const bytesSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array);
+
+const rangeSchema = z.tuple([z.int().nonnegative(), z.int().nonnegative()]);
+
 /** Schema of the state of a prefix that daemons send each other. */
 export const mirrorStateSchema = z.object({
   prefix: z.string(),
@@ -86,8 +111,11 @@
   items: z.array(
     z.object({
       key: z.string(),
-      value: z.custom<Buffer>(value => value instanceof Uint8Array),
       revision: z.number(),
+      /** The value, or parts of it if `base` is set. */
+      parts: z.array(z.union([bytesSchema, rangeSchema])),
+      /** Revision of the item whose value the ranges refer to. */
+      base: z.number().optional(),
     }),
   ),
 });
@@ -103,18 +131,42 @@
   const {prefix, revision, items} = mirror;
   if (revision === undefined || revision <= after) return undefined;
   const changed = [...items.values()].filter(item => item.revision > after);
-  return {prefix, revision, keys: [...items.keys()], items: changed};
+  return {
+    prefix,
+    revision,
+    keys: [...items.keys()],
+    items: changed.map(item => encodeItem(mirror, item, after)),
+  };
+}
+
+function encodeItem(
+  {bases}: StoreMirror,
+  {key, revision, value}: StoreItem,
+  after: number,
+): MirrorState['items'][number] {
+  const base = bases.get(key)?.findLast(item => item.revision <= after);
+  if (!base) return {key, revision, parts: [value]};
+  const parts = createDelta(base.value, value);
+  return {key, revision, parts, base: base.revision};
 }
 
-/** Applies the state of another daemon; ignores it when it is not newer. */
+/**
+ * Applies the state of another daemon; ignores it when it is not newer. Returns
+ * undefined, and changes nothing, when a delta has another base than the known
+ * value: all items must then be requested.
+ */
 export function applyMirrorState(
   mirror: StoreMirror,
   state: MirrorState,
-): KeyChange[] {
+): KeyChange[] | undefined {
   if (state.revision <= (mirror.revision ?? -1)) return [];
+  const items: StoreItem[] = [];
+  for (const {key, revision, parts, base} of state.items) {
+    const known = mirror.items.get(key);
+    if (base !== undefined && known?.revision !== base) return undefined;
+    const value = applyDelta(known?.value ?? Buffer.alloc(0), parts);
+    items.push({key, revision, value});
+  }
   const changes = dropMissing(mirror, new Set(state.keys));
-  const items = state.items.map(item => {
-    return {...item, value: Buffer.from(item.value)};
-  });
   return [...changes, ...applyEvents(mirror, items, state.revision)];
 }
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -43,6 +43,7 @@
 export * from './core/peer_contact.js';
 export * from './core/concurrency_limiter.js';
 export * from './core/explain.js';
+export * from './core/value_delta.js';
 export * from './core/store_mirror.js';
 export * from './core/store_follow.js';
 export * from './core/copy_age.js';
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -39,8 +39,8 @@
   readMirrorAge: () => number;
   /** Time since the store or a daemon last answered a read, ms. */
   readSourceSilence: () => number;
-  /** Cached state for peers whose copy has the revision `after`, packed. */
-  packedState?: {after: number; revision: number; body: Buffer};
+  /** Packed states of one revision, by the revision that peers have. */
+  readonly packedStates: {revision: number; byAfter: Map<number, Buffer>};
   /** Functions that answer the pending long polls of peers. */
   readonly pendingPolls: Set<() => void>;
   readonly balance: BalanceState;
@@ -87,6 +87,7 @@
     mirror: createMirror(deps.prefix),
     readMirrorAge: () => Infinity,
     readSourceSilence: () => Infinity,
+    packedStates: {revision: -1, byAfter: new Map()},
     pendingPolls: new Set(),
     balance: new Map(),
     contacts: new Map(),
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -34,6 +34,9 @@
 /** Largest inflated state that is accepted from a peer, bytes. */
 const MAX_STATE_BYTES = 67_108_864;
 
+/** Packed states that are cached, one for each revision that peers have. */
+const MAX_PACKED_STATES = 8;
+
 /** Upper bound of the age in an answer, ms. */
 const MAX_AGE_MS = 3_600_000;
 
@@ -98,33 +101,35 @@
   const headers = {
     [HEADERS.ageMs]: String(Math.min(Math.ceil(ageMs), MAX_AGE_MS)),
   };
-  const state = readMirror(board.mirror, after);
-  if (!state) {
+  const body = packState(board, after);
+  if (!body) {
     res.writeHead(204, headers).end();
     return;
   }
-  const body = packState(board, after, state);
   res.writeHead(200, {...headers, 'content-length': body.length});
   res.end(body);
 }
 
 /**
- * Packs a state, or returns the cached one: most peers have the same revision.
- * It is compressed because a configuration is large and repetitive, and one
- * reader sends it to many peers over its link.
+ * Packs the state since a revision, or returns the cached one: most peers have
+ * the same revision. It is compressed because a configuration is large and
+ * repetitive, and one reader sends it to many peers over its link. Returns
+ * undefined when nothing is newer.
  */
-function packState(
-  board: SidecarBoard,
-  after: number,
-  state: MirrorState,
-): Buffer {
-  const {packedState} = board;
-  const {revision} = state;
-  if (packedState?.after === after && packedState.revision === revision) {
-    return packedState.body;
+function packState(board: SidecarBoard, after: number): Buffer | undefined {
+  const {mirror, packedStates} = board;
+  const {revision = -1} = mirror;
+  if (revision <= after) return undefined;
+  if (packedStates.revision !== revision) {
+    packedStates.revision = revision;
+    packedStates.byAfter.clear();
+  }
+  const cached = packedStates.byAfter.get(after);
+  if (cached) return cached;
+  const body = deflateRawSync(pack(readMirror(mirror, after)), {level: 1});
+  if (packedStates.byAfter.size < MAX_PACKED_STATES) {
+    packedStates.byAfter.set(after, body);
   }
-  const body = deflateRawSync(pack(state), {level: 1});
-  board.packedState = {after, revision, body};
   return body;
 }
 
