Let other daemons answer polls while a reader is slow

Cause: hashing alone chooses the reader of a data centre. teku-16 and balaju-17 stood beside upstreams that send downloads, with links used to the limit; their answers came after the timeout, and each poll that was given up was repeated in full. Nothing moved the duty, since a reader that answers late is not silent and reports a fresh copy.

Change: a daemon declines polls for 4 s when even its fastest peer takes more than 0.2 s from an answer to the next poll, and while its event loop lags by 0.25 s or more. A peer that is declined asks the next in rank, without a read of the store in between. The line readerSlow says when. The test is new with the interface; peers cannot be declined before.

Ruled out: a rank by the size of instances or by their service, which daemons know differently; settings of the link, which say nothing of its use.

--- a/__tests__/peer_state.test.ts
+++ b/__tests__/peer_state.test.ts
@@ -2,11 +2,17 @@
 import type {AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {createStoreClient} from '../platform/store_client.js';
-import {HEADERS} from '../src/internal.js';
+import {
+  createMirror,
+  createPollTurnaround,
+  FRESH_MS,
+  HEADERS,
+} from '../src/internal.js';
 import type {SidecarBoard} from '../src/sidecar/board.js';
 import {
   createStateClient,
   createStorePeers,
+  serveState,
 } from '../src/sidecar/peer_state.js';
 
 /** Time for which a test keeps the process busy, ms: above all timeouts. */
@@ -49,7 +55,7 @@
   } as unknown as SidecarBoard;
   const peers = createStorePeers(board, client);
   const update = await peers.ask(address, 1, WAIT_MS);
-  t.is(update?.ageMs, 7);
+  t.deepEqual(update, {ageMs: 7, state: undefined});
 });
 
 // The same for reads of the store, by which a daemon recovers from lost polls.
@@ -62,3 +68,44 @@
   t.teardown(() => store.close());
   t.deepEqual(await store.watch('', 1, WAIT_MS), {events: [], revision: 9});
 });
+
+/** Polls a daemon from several peers; each waits before it polls again. */
+async function pollWithTurnaround(
+  t: ExecutionContext,
+  turnaroundMs: number,
+): Promise<unknown[]> {
+  const mirror = createMirror('');
+  mirror.revision = 1;
+  let now = 0;
+  const board = {
+    settings: {host: '127.0.0.1', peerPort: 1},
+    mirror,
+    pollTurnaround: createPollTurnaround(),
+    packedStates: {revision: -1, byAfter: new Map()},
+    pendingPolls: new Set(),
+    counters: new Map(),
+    lag: {read: () => 0},
+    log: {write: () => undefined},
+    readMirrorAge: () => FRESH_MS,
+    now: () => now,
+  } as unknown as SidecarBoard;
+  const address = await listen(t, (req, res) => serveState(board, req, res));
+  const clients = [1, 2, 3].map(() => createStateClient());
+  t.teardown(() => Promise.all(clients.map(client => client.close())));
+  const replies: unknown[] = [];
+  for (let round = 0; round < 8; round++) {
+    for (const client of clients) {
+      const peers = createStorePeers(board, client);
+      replies.push(await peers.ask(address, 1, WAIT_MS));
+    }
+    now += turnaroundMs;
+  }
+  return replies;
+}
+
+// The reader of a data centre was a daemon with a saturated link: its answers
+// came too late, and those who asked served by an old list of upstreams.
+test('a daemon whose answers are slow lets others be asked', async t => {
+  t.true((await pollWithTurnaround(t, 400)).includes('declined'));
+  t.false((await pollWithTurnaround(t, 100)).includes('declined'));
+});
--- a/src/core/copy_age.ts
+++ b/src/core/copy_age.ts
@@ -8,7 +8,7 @@
 const CONTACT_MS = 1_000;
 
 /** Lag of the event loop from which this daemon counts as overloaded, ms. */
-const OVERLOAD_LAG_MS = 250;
+export const OVERLOAD_LAG_MS = 250;
 
 /** What a daemon knows of the age of its copy of the store. */
 export interface CopyStatus {
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -28,6 +28,7 @@
   'linesDropped',
   'peerHeard',
   'peerSilent',
+  'readerSlow',
   'reloaded',
   'reloadFailed',
   'sourceChosen',
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -96,12 +96,13 @@
   rank(): readonly string[];
   /** Picks any daemon, for when no ranked one answers. */
   pickAny(): string | undefined;
-  /** Resolves to undefined without a valid answer. */
+  /** Resolves to undefined without a valid answer, and to `declined` when the
+   * daemon wants others to be asked. */
   ask(
     address: string,
     after: number,
     waitMs: number,
-  ): Promise<PeerUpdate | undefined>;
+  ): Promise<PeerUpdate | 'declined' | undefined>;
 }
 
 /** Dependencies of a store follower. */
@@ -302,6 +303,10 @@
   const {peers} = state.deps;
   const update = await peers.ask(address, getAskedRevision(state), POLL_MS);
   if (state.stopped) return;
+  if (update === 'declined') {
+    avoid(state, address, AVOID_MS);
+    return;
+  }
   if (update && applyPeerUpdate(state, update)) {
     state.avoided.delete(address);
     return;
@@ -342,7 +347,7 @@
       ? undefined
       : await peers.ask(address, getAskedRevision(state), 0);
   if (state.stopped) return;
-  if (update) applyPeerUpdate(state, update);
+  if (update && update !== 'declined') applyPeerUpdate(state, update);
   await pause(NO_SOURCE_PAUSE_MS);
 }
 
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -2,6 +2,7 @@
   createLimiter,
   createLoopLag,
   createMirror,
+  createPollTurnaround,
   createResendBudget,
   createSuspects,
   createUpstreamList,
@@ -13,6 +14,7 @@
   type ListedUpstream,
   type LoopLag,
   type PeerContacts,
+  type PollTurnaround,
   type Random,
   type ResendBudget,
   type RouteTable,
@@ -41,6 +43,7 @@
   readSourceSilence: () => number;
   /** Packed states of one revision, by the revision that peers have. */
   readonly packedStates: {revision: number; byAfter: Map<number, Buffer>};
+  readonly pollTurnaround: PollTurnaround;
   /** Functions that answer the pending long polls of peers. */
   readonly pendingPolls: Set<() => void>;
   readonly balance: BalanceState;
@@ -88,6 +91,7 @@
     readMirrorAge: () => Infinity,
     readSourceSilence: () => Infinity,
     packedStates: {revision: -1, byAfter: new Map()},
+    pollTurnaround: createPollTurnaround(),
     pendingPolls: new Set(),
     balance: new Map(),
     contacts: new Map(),
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -1,15 +1,19 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {pack, unpack} from 'msgpackr';
+import type {Socket} from 'node:net';
 import {
   count,
+  DECLINE_MS,
   FRESH_MS,
   HEADERS,
   listHosts,
   mirrorStateSchema,
+  OVERLOAD_LAG_MS,
   POLL_MS,
   rankReaders,
   readMirror,
+  recordTurnaround,
   setReplyTimeout,
   type MirrorState,
   type StorePeers,
@@ -58,13 +62,20 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): void {
+  recordPoll(board, req.socket);
   const query = new URLSearchParams((req.url ?? '').split('?')[1] ?? '');
   const after = Number(query.get('after') ?? -1);
   // An answer from a stale copy must not be mistaken for one without changes.
   const freshMs = FRESH_MS - board.readMirrorAge();
-  const waitMs = Math.min(POLL_MS, Number(query.get('wait') ?? 0), freshMs);
+  const askedMs = Number(query.get('wait') ?? 0);
+  const waitMs = Math.min(POLL_MS, askedMs, freshMs);
+  if (board.stopping || (askedMs > 0 && declinesPolls(board))) {
+    count(board, 'state_declined');
+    res.writeHead(503, {'content-length': 0}).end();
+    return;
+  }
   const revision = board.mirror.revision ?? -1;
-  if (board.stopping || revision > after || !(waitMs > 0)) {
+  if (revision > after || !(waitMs > 0)) {
     answerState(board, after, res);
     return;
   }
@@ -82,17 +93,35 @@
   });
 }
 
+/** Monotonic time of the latest answer on each connection of a peer, ms. */
+const lastAnswers = new WeakMap<Socket, number>();
+
+function recordPoll(board: SidecarBoard, socket: Socket): void {
+  const answeredAt = lastAnswers.get(socket);
+  if (answeredAt === undefined) return;
+  lastAnswers.delete(socket);
+  const now = board.now();
+  const turnaroundMs = now - answeredAt;
+  if (!recordTurnaround(board.pollTurnaround, turnaroundMs, now)) return;
+  board.log.write('always', 'readerSlow', {
+    turnaroundMs: Math.round(turnaroundMs),
+    lagMs: Math.round(board.lag.read()),
+    forMs: DECLINE_MS,
+  });
+}
+
+/** True when peers had better ask a daemon that is less busy. */
+function declinesPolls({pollTurnaround, lag, now}: SidecarBoard): boolean {
+  return now() < pollTurnaround.declineUntil || lag.read() >= OVERLOAD_LAG_MS;
+}
+
 function answerState(
   board: SidecarBoard,
   after: number,
   res: ServerResponse,
 ): void {
   count(board, 'state_served');
-  if (board.stopping) {
-    // Makes peers ask a daemon that keeps running.
-    res.writeHead(503, {'content-length': 0}).end();
-    return;
-  }
+  if (res.socket) lastAnswers.set(res.socket, board.now());
   const ageMs = board.readMirrorAge();
   if (!Number.isFinite(ageMs) && board.mirror.revision === undefined) {
     res.writeHead(503, {'content-length': 0}).end();
@@ -192,7 +221,7 @@
   address: string,
   after: number,
   waitMs: number,
-): Promise<PeerUpdate | undefined> {
+): Promise<PeerUpdate | 'declined' | undefined> {
   const path = `${STATE_PATH}?after=${after}&wait=${waitMs}`;
   const request = {method: 'GET', path, headers: [], body: undefined};
   const call = client.send(`http://${address}`, request, board.now());
@@ -205,6 +234,7 @@
   count(board, `peer_asked_${result.kind}`);
   if (result.kind !== 'answer') return undefined;
   const {status, headers, body} = result.answer;
+  if (status === 503) return 'declined';
   const ageMs = Number(readHeader(headers, HEADERS.ageMs) ?? NaN);
   if (!Number.isFinite(ageMs)) return undefined;
   if (status !== 200) return {ageMs, state: undefined};
