Count the way of a peer's answer in the age of the copy

Behind a saturated link answers of the reader waited for hundreds of milliseconds, and the followers' copies were older by that than they believed.

Change: an answer says for how long the poll was held; the rest of the time since the poll was sent counts as way. An answer that waits unread counts too, so the lag of the event loop is added only to answers of the store.

--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -82,7 +82,8 @@
 
 /** Answer of another daemon about the state of the store. */
 export interface PeerUpdate {
-  /** Time since its copy was last known to match the store, ms. */
+  /** Time since its copy was last known to match the store, ms; includes the
+   * time that the answer took to arrive. */
   readonly ageMs: number;
   /** Undefined when it has nothing newer. */
   readonly state: MirrorState | undefined;
@@ -232,8 +233,7 @@
 
 function markFresh(state: FollowerState, ageMs: number): void {
   const {deps} = state;
-  const confirmedAt = deps.now() - ageMs - deps.readLag();
-  state.confirmedAt = Math.max(state.confirmedAt, confirmedAt);
+  state.confirmedAt = Math.max(state.confirmedAt, deps.now() - ageMs);
   if (!state.stale) return;
   state.stale = false;
   deps.onRegained();
@@ -258,7 +258,7 @@
     state.faulty = false;
     state.needsFullRead = changes === 'compacted';
     if (changes === 'compacted') return;
-    markFresh(state, 0);
+    markFresh(state, deps.readLag());
     deps.onChanges(changes);
     if (changes.length > 0 && waitMs > 0) await pause(COALESCE_MS);
   } catch (err) {
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -80,10 +80,12 @@
     return;
   }
   const {pendingPolls} = board;
+  const arrivedAt = board.now();
   const finish = (): void => {
     clearTimeout(timer);
     pendingPolls.delete(finish);
-    if (!res.destroyed) answerState(board, after, res);
+    const heldMs = board.now() - arrivedAt;
+    if (!res.destroyed) answerState(board, after, res, heldMs);
   };
   const timer = setTimeout(finish, waitMs);
   pendingPolls.add(finish);
@@ -119,6 +121,7 @@
   board: SidecarBoard,
   after: number,
   res: ServerResponse,
+  heldMs = 0,
 ): void {
   count(board, 'state_served');
   if (res.socket) lastAnswers.set(res.socket, board.now());
@@ -129,6 +132,7 @@
   }
   const headers = {
     [HEADERS.ageMs]: String(Math.min(Math.ceil(ageMs), MAX_AGE_MS)),
+    [HEADERS.heldMs]: String(Math.floor(heldMs)),
   };
   const body = packState(board, after);
   if (!body) {
@@ -224,7 +228,8 @@
 ): Promise<PeerUpdate | 'declined' | undefined> {
   const path = `${STATE_PATH}?after=${after}&wait=${waitMs}`;
   const request = {method: 'GET', path, headers: [], body: undefined};
-  const call = client.send(`http://${address}`, request, board.now());
+  const sentAt = board.now();
+  const call = client.send(`http://${address}`, request, sentAt);
   const cancelTimeout = setReplyTimeout(
     () => call.abort(),
     waitMs + ANSWER_MARGIN_MS,
@@ -235,7 +240,10 @@
   if (result.kind !== 'answer') return undefined;
   const {status, headers, body} = result.answer;
   if (status === 503) return 'declined';
-  const ageMs = Number(readHeader(headers, HEADERS.ageMs) ?? NaN);
+  const answeredAgeMs = Number(readHeader(headers, HEADERS.ageMs) ?? NaN);
+  const heldMs = Number(readHeader(headers, HEADERS.heldMs) ?? 0);
+  const transitMs = Math.max(0, board.now() - sentAt - heldMs);
+  const ageMs = answeredAgeMs + transitMs;
   if (!Number.isFinite(ageMs)) return undefined;
   if (status !== 200) return {ageMs, state: undefined};
   const state = decodeState(board, address, body);
