--- a/src/daemon/source.ts
+++ b/src/daemon/source.ts
@@ -3,6 +3,7 @@
 import {
   BerylbendError,
   memberSchema,
+  setReplyTimeout,
   type Entry,
   type ErrorCode,
   type MemberRecord,
@@ -44,12 +45,8 @@
   signal: AbortSignal,
 ): Promise<SourceReply> {
   const target = `${url}/v1/entries?after=${after}&waitMs=${waitMs}`;
-  const timeout = AbortSignal.timeout(waitMs + READ_GRACE_MS);
-  const body = await readJson(
-    target,
-    AbortSignal.any([signal, timeout]),
-    'sourceFailed',
-  );
+  const timeoutMs = waitMs + READ_GRACE_MS;
+  const body = await readJson(target, timeoutMs, signal, 'sourceFailed');
   return parseReply(replySchema, body, 'sourceFailed') as SourceReply;
 }
 
@@ -58,20 +55,20 @@
   url: string,
   signal: AbortSignal,
 ): Promise<MemberRecord[]> {
-  const timeout = AbortSignal.timeout(READ_GRACE_MS);
-  const body = await readJson(
-    `${url}/v1/instances`,
-    AbortSignal.any([signal, timeout]),
-    'listFailed',
-  );
+  const target = `${url}/v1/instances`;
+  const body = await readJson(target, READ_GRACE_MS, signal, 'listFailed');
   return parseReply(listSchema, body, 'listFailed').instances;
 }
 
 async function readJson(
   url: string,
-  signal: AbortSignal,
+  timeoutMs: number,
+  stop: AbortSignal,
   code: ErrorCode,
 ): Promise<unknown> {
+  const timeout = new AbortController();
+  const cancelTimeout = setReplyTimeout(() => timeout.abort(), timeoutMs);
+  const signal = AbortSignal.any([stop, timeout.signal]);
   try {
     const res = await request(url, {dispatcher: agent, signal});
     if (res.statusCode !== 200) {
@@ -81,6 +78,8 @@
     return await res.body.json();
   } catch (err) {
     throw new BerylbendError(code, [], err as Error);
+  } finally {
+    cancelTimeout();
   }
 }
 
