--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -30,8 +30,8 @@
 export const ALIVE_PATH = '/.well-known/berylbend/alive';
 
 /**
- * Awaits the reply of the daemon of an upstream. When that daemon falls silent, a request
- * that may run again ends as broken; others keep waiting.
+ * Awaits the reply of the daemon of an upstream. When that daemon falls silent,
+ * a request that may run again ends as broken; others keep waiting.
  */
 export function awaitPeerReply(
   board: SidecarBoard,
