--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -13,6 +13,14 @@
   type StoreMirror,
 } from './store_mirror.js';
 
+/** Answer of the store to a watch. */
+export interface StoreChanges {
+  readonly events: StoreEvent[];
+  readonly revision: number;
+  /** Time from the first to the last byte of the answer, ms. */
+  readonly transferMs: number;
+}
+
 /** Reads of the platform's store; each rejects if the call fails. */
 export interface KeyValueStore {
   /** Reads one page of the keys with the prefix, after a key if given. */
@@ -25,7 +33,7 @@
     prefix: string,
     afterRevision: number,
     waitMs: number,
-  ): Promise<{events: StoreEvent[]; revision: number} | 'compacted'>;
+  ): Promise<StoreChanges | 'compacted'>;
   close(): Promise<void>;
 }
 
@@ -248,7 +256,7 @@
     PEER_FALLBACK_MS,
   );
   try {
-    const changes = await (state.needsFullRead
+    const result = await (state.needsFullRead
       ? readAllPages(deps)
       : watch(deps, waitMs));
     if (state.stopped) return;
@@ -256,14 +264,18 @@
     state.answeredAt = deps.now();
     if (state.faulty) deps.onRecovered();
     state.faulty = false;
-    state.needsFullRead = changes === 'compacted';
-    if (changes === 'compacted') return;
-    markFresh(state, deps.readLag());
+    state.needsFullRead = result === 'compacted';
+    if (result === 'compacted') return;
+    const {changes, ageMs} = result;
+    markFresh(state, ageMs + deps.readLag());
     deps.onChanges(changes);
     if (changes.length > 0 && waitMs > 0) await pause(COALESCE_MS);
   } catch (err) {
     if (state.stopped) return;
     avoid(state, own, STORE_RETRY_MS);
+    // The history may hold many versions of a large value by now; a full read
+    // returns only the latest one.
+    state.needsFullRead = true;
     state.stale = true;
     deps.onFault(err as Error, !state.faulty);
     state.faulty = true;
@@ -351,20 +363,29 @@
   await pause(NO_SOURCE_PAUSE_MS);
 }
 
+/** Changes of one read of the store, and how old they are, ms. */
+interface ReadResult {
+  readonly changes: KeyChange[];
+  readonly ageMs: number;
+}
+
 async function watch(
   {store, mirror}: FollowerDeps,
   waitMs: number,
-): Promise<KeyChange[] | 'compacted'> {
+): Promise<ReadResult | 'compacted'> {
   const after = mirror.revision ?? 0;
   const reply = await store.watch(mirror.prefix, after, waitMs);
   if (reply === 'compacted') return reply;
-  return applyEvents(mirror, reply.events, reply.revision);
+  const {events, revision, transferMs} = reply;
+  return {changes: applyEvents(mirror, events, revision), ageMs: transferMs};
 }
 
 async function readAllPages({
   store,
   mirror,
-}: FollowerDeps): Promise<KeyChange[]> {
+  now,
+}: FollowerDeps): Promise<ReadResult> {
+  const startedAt = now();
   const items: StoreItem[] = [];
   let revision: number | undefined;
   let after: string | undefined;
@@ -376,7 +397,8 @@
     after = page.items.at(-1)?.key;
     if (!page.more || after === undefined) break;
   }
-  return applyFullRead(mirror, items, revision);
+  const changes = applyFullRead(mirror, items, revision);
+  return {changes, ageMs: now() - startedAt};
 }
 
 function pause(ms: number): Promise<void> {
