Wait for silent daemons while stopping

Cause: an entry gives up a request that may run again when the owner's daemon does not answer a probe, 0.6 s after it was sent. The owner was alive and slow. When the resend budget allows no other upstream, the caller gets 502. A stopping entry gives nothing up now; the answer or the deadline ends the request. The test failed before (502).

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -354,3 +354,29 @@
     t.is(harness.upstreams[0].runs.length, 1);
   },
 );
+
+// A stopping entry took a busy daemon for silent and answered 502 to a request
+// that an upstream was running (LOST on kvrwa-mesh and palok-mesh-grown).
+test.serial('a stopping daemon waits for a silent one', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [sidecar] = harness.sidecars;
+  const {board} = sidecar;
+  let forwarded = 0;
+  const host = await harness.addPeer(t, 'dc1', (req, res) => {
+    if (req.headers['berylbend-terms'] === undefined) return;
+    forwarded++;
+    res.setHeader('berylbend-load', '0,0,8,10,0,0');
+    void until(() => board.contacts.get(host)?.silent).then(() =>
+      setTimeout(() => answerOk(req, res, 'peer'), 50),
+    );
+  });
+  await until(() => board.list.byId.has('peer'));
+  // The local upstream counts as busy, so that the other one is chosen first.
+  for (let i = 0; i < 50; i++) recordTargetSend(board.balance, 'u0');
+  board.resends.tokens.set('s', -100);
+  const sent = harness.send(0, {path: '/slow/1', deadlineMs: 5_000});
+  await until(() => forwarded === 1);
+  const stopped = sidecar.stop();
+  t.like(await sent, {status: 200, body: 'peer'});
+  await stopped;
+});
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -31,7 +31,8 @@
 
 /**
  * Awaits the reply of the daemon of an upstream. When that daemon falls silent,
- * a request that may run again ends as broken; others keep waiting.
+ * a request that may run again ends as broken, unless this daemon stops; others
+ * keep waiting.
  */
 export function awaitPeerReply(
   board: SidecarBoard,
@@ -43,6 +44,8 @@
   const contact = getOrCreateContact(board.contacts, host);
   return new Promise(resolve => {
     const giveUp = (): void => {
+      // A planned stop must not cut a request that may be running.
+      if (board.stopping) return;
       contact.open.delete(openForward);
       resolve({
         kind: 'broken',
