--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -3,39 +3,11 @@
 import {hash32, rankByRendezvous} from '../utils/hash.js';
 import type {Random} from '../utils/random.js';
 import {
-  applyEvents,
   applyMirrorState,
-  applyFullRead,
   type KeyChange,
   type MirrorState,
-  type StoreEvent,
-  type StoreItem,
-  type StoreMirror,
 } from './store_mirror.js';
-
-/** Answer of the store to a watch. */
-export interface StoreChanges {
-  readonly events: StoreEvent[];
-  readonly revision: number;
-  /** Time from the first to the last byte of the answer, ms. */
-  readonly transferMs: number;
-}
-
-/** Reads of the platform's store; each rejects if the call fails. */
-export interface KeyValueStore {
-  /** Reads one page of the keys with the prefix, after a key if given. */
-  readPage(
-    prefix: string,
-    after: string | undefined,
-  ): Promise<{items: StoreItem[]; more: boolean; revision: number}>;
-  /** Waits for changes; `compacted` when their history was removed. */
-  watch(
-    prefix: string,
-    afterRevision: number,
-    waitMs: number,
-  ): Promise<StoreChanges | 'compacted'>;
-  close(): Promise<void>;
-}
+import {readAllKeys, watchChanges, type ReadDeps} from './store_reads.js';
 
 /** Decoded change of a key of the store. */
 export type StoreUpdate =
@@ -115,9 +87,7 @@
 }
 
 /** Dependencies of a store follower. */
-export interface FollowerDeps {
-  readonly store: KeyValueStore;
-  readonly mirror: StoreMirror;
+export interface FollowerDeps extends ReadDeps {
   readonly peers: StorePeers;
   /** Handles the changes of one call, which may be none. */
   readonly onChanges: (changes: KeyChange[]) => void;
@@ -130,8 +100,6 @@
   /** The source of updates has changed. */
   readonly onSource: (source: string) => void;
   readonly random: Random;
-  /** Monotonic clock, ms. */
-  readonly now: () => number;
   /** Time for which input handled now may have waited unread, ms. */
   readonly readLag: () => number;
 }
@@ -257,8 +225,8 @@
   );
   try {
     const result = await (state.needsFullRead
-      ? readAllPages(deps)
-      : watch(deps, waitMs));
+      ? readAllKeys(deps)
+      : watchChanges(deps, waitMs));
     if (state.stopped) return;
     state.avoided.delete(own);
     state.answeredAt = deps.now();
@@ -363,44 +331,6 @@
   await pause(NO_SOURCE_PAUSE_MS);
 }
 
-/** Changes of one read of the store, and how old they are, ms. */
-interface ReadResult {
-  readonly changes: KeyChange[];
-  readonly ageMs: number;
-}
-
-async function watch(
-  {store, mirror}: FollowerDeps,
-  waitMs: number,
-): Promise<ReadResult | 'compacted'> {
-  const after = mirror.revision ?? 0;
-  const reply = await store.watch(mirror.prefix, after, waitMs);
-  if (reply === 'compacted') return reply;
-  const {events, revision, transferMs} = reply;
-  return {changes: applyEvents(mirror, events, revision), ageMs: transferMs};
-}
-
-async function readAllPages({
-  store,
-  mirror,
-  now,
-}: FollowerDeps): Promise<ReadResult> {
-  const startedAt = now();
-  const items: StoreItem[] = [];
-  let revision: number | undefined;
-  let after: string | undefined;
-  for (;;) {
-    const page = await store.readPage(mirror.prefix, after);
-    // Pages are not one snapshot: changes since the first page are read again.
-    revision ??= page.revision;
-    items.push(...page.items);
-    after = page.items.at(-1)?.key;
-    if (!page.more || after === undefined) break;
-  }
-  const changes = applyFullRead(mirror, items, revision);
-  return {changes, ageMs: now() - startedAt};
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
--- /dev/null
+++ b/src/core/store_reads.ts
@@ -0,0 +1,80 @@
+import {
+  applyEvents,
+  applyFullRead,
+  type KeyChange,
+  type StoreEvent,
+  type StoreItem,
+  type StoreMirror,
+} from './store_mirror.js';
+
+/** Answer of the store to a watch. */
+export interface StoreChanges {
+  readonly events: StoreEvent[];
+  readonly revision: number;
+  /** Time from the first to the last byte of the answer, ms. */
+  readonly transferMs: number;
+}
+
+/** Reads of the platform's store; each rejects if the call fails. */
+export interface KeyValueStore {
+  /** Reads one page of the keys with the prefix, after a key if given. */
+  readPage(
+    prefix: string,
+    after: string | undefined,
+  ): Promise<{items: StoreItem[]; more: boolean; revision: number}>;
+  /** Waits for changes; `compacted` when their history was removed. */
+  watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<StoreChanges | 'compacted'>;
+  close(): Promise<void>;
+}
+
+/** Dependencies of a read. */
+export interface ReadDeps {
+  readonly store: KeyValueStore;
+  readonly mirror: StoreMirror;
+  /** Monotonic clock, ms. */
+  readonly now: () => number;
+}
+
+/** Changes of one read of the store, and how old they are, ms. */
+export interface ReadResult {
+  readonly changes: KeyChange[];
+  readonly ageMs: number;
+}
+
+/** Waits for changes after the revision of the copy, and applies them. */
+export async function watchChanges(
+  {store, mirror}: ReadDeps,
+  waitMs: number,
+): Promise<ReadResult | 'compacted'> {
+  const after = mirror.revision ?? 0;
+  const reply = await store.watch(mirror.prefix, after, waitMs);
+  if (reply === 'compacted') return reply;
+  const {events, revision, transferMs} = reply;
+  return {changes: applyEvents(mirror, events, revision), ageMs: transferMs};
+}
+
+/** Reads all keys and applies them. */
+export async function readAllKeys({
+  store,
+  mirror,
+  now,
+}: ReadDeps): Promise<ReadResult> {
+  const startedAt = now();
+  const items: StoreItem[] = [];
+  let revision: number | undefined;
+  let after: string | undefined;
+  for (;;) {
+    const page = await store.readPage(mirror.prefix, after);
+    // Pages are not one snapshot: changes since the first page are read again.
+    revision ??= page.revision;
+    items.push(...page.items);
+    after = page.items.at(-1)?.key;
+    if (!page.more || after === undefined) break;
+  }
+  const changes = applyFullRead(mirror, items, revision);
+  return {changes, ageMs: now() - startedAt};
+}
