Measure queue, hop and write of forwarded requests and count ends by route

The owner states in each reply how long it held the request; the entry records the rest as hop, apart for large answers. Owners record the queue and the time until a reply is handed to the kernel. Requests given up at silent daemons are counted, and ends by route, since calls have routes of their own.

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -399,3 +399,26 @@
   t.like(await sent, {status: 200, body: 'peer'});
   await stopped;
 });
+
+test.serial(
+  'metrics separate queue, hop and write of a reply, and count ends by route',
+  async t => {
+    const harness = await startHarness(t, ['dc1', 'dc1']);
+    const [entry, owner] = harness.sidecars.map(({board}) => board);
+    harness.upstreams[1].handle = (req, res) =>
+      answerOk(req, res, 'x'.repeat(50_000));
+    for (let i = 0; i < 50; i++) recordTargetSend(entry.balance, 'u0');
+    t.is((await harness.send(0)).status, 200);
+    harness.upstreams[1].handle = (_req, res) => res.writeHead(500).end();
+    const book = {path: '/book/1', method: 'POST'};
+    t.is((await harness.send(0, book)).status, 500);
+    const countOf = ({metrics}: typeof entry, name: string) =>
+      metrics.histograms.get(name)?.totalCount;
+    t.is(countOf(entry, 'hop_large'), 1);
+    t.is(countOf(entry, 'hop'), 1);
+    t.is(countOf(owner, 'owner_queue'), 2);
+    t.is(countOf(owner, 'reply_write'), 2);
+    t.is(entry.counters.get('route_read_answered'), 1);
+    t.is(entry.counters.get('route_book_failed'), 1);
+  },
+);
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -52,6 +52,8 @@
   peerHeardAt: number;
   /** Mean size of request plus answer by route name, bytes. */
   readonly routeBytes: Map<string, number>;
+  /** Routes with counters of their own, by name. */
+  readonly countedRoutes: Set<string>;
   readonly resends: ResendBudget;
   readonly splits: SplitState;
   readonly suspects: Suspects;
@@ -97,6 +99,7 @@
     contacts: new Map(),
     peerHeardAt: -Infinity,
     routeBytes: new Map(),
+    countedRoutes: new Set(),
     resends: createResendBudget(deps.settings.resends),
     splits: new Map(),
     suspects: createSuspects(),
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -96,6 +96,24 @@
   return (ms / 1_000).toFixed(3);
 }
 
+/** Maximum number of routes with counters of their own. */
+const MAX_COUNTED_ROUTES = 64;
+
+/** Counts the end of a request by route and outcome; calls of upstreams have
+ * routes of their own. */
+function countRouteEnd(
+  board: SidecarBoard,
+  name: string,
+  outcome: Outcome | 'cancelled',
+  status: number,
+): void {
+  const {countedRoutes} = board;
+  if (countedRoutes.size < MAX_COUNTED_ROUTES) countedRoutes.add(name);
+  const route = countedRoutes.has(name) ? name : 'other';
+  const failed = outcome === 'answered' && status >= 500;
+  count(board, `route_${route}_${failed ? 'failed' : outcome}`);
+}
+
 /** Logs a resend. */
 export function logResend(
   {board}: EntryState,
@@ -122,6 +140,7 @@
 ): void {
   const {route, startedAt, deadlineAt} = exchange;
   const now = board.now();
+  countRouteEnd(board, route?.name ?? '', outcome, status);
   const routine = outcome === 'answered' && status < 500;
   board.log.write(routine ? 'routine' : 'notable', 'request', {
     request: exchange.id,
--- a/src/sidecar/forward.ts
+++ b/src/sidecar/forward.ts
@@ -25,7 +25,11 @@
  * `reachedUpstream` when the upstream itself refused it. `broken`: it may have
  * run. `unsent`: the owner could not be reached. `aborted`: ended by `abort`.
  */
-export type ForwardReply = {readonly report?: LoadReport} & (
+export type ForwardReply = {
+  readonly report?: LoadReport;
+  /** Time from the request's arrival at the owner to this result, ms. */
+  readonly heldMs?: number;
+} & (
   | {readonly kind: 'answer'; readonly answer: HttpAnswer}
   | {
       readonly kind: 'refused';
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -11,6 +11,7 @@
   recordTargetSend,
   spendResend,
 } from '../internal.js';
+import {recordLatency} from '../daemon/metrics.js';
 import type {SidecarBoard} from './board.js';
 import {type EntryState, type Exchange, MAX_FORWARDS} from './exchange.js';
 import {finishAnswered, finishRefused, logResend} from './finish.js';
@@ -116,10 +117,24 @@
     ? call.result
     : awaitPeerReply(board, upstream, call, repeatable));
   exchange.call = undefined;
-  recordTargetEnd(board.balance, upstream.id, reply.report, board.now());
+  const endedAt = board.now();
+  recordTargetEnd(board.balance, upstream.id, reply.report, endedAt);
+  if (!isLocal) recordHop(board, reply, endedAt - now);
   return reply;
 }
 
+/** Records the time of a forwarded request without the time at its owner. */
+function recordHop(
+  {metrics}: SidecarBoard,
+  reply: ForwardReply,
+  elapsedMs: number,
+): void {
+  if (reply.heldMs === undefined) return;
+  const bytes = reply.kind === 'answer' ? reply.answer.body.length : 0;
+  const name = bytes > LARGE_EXCHANGE_BYTES ? 'hop_large' : 'hop';
+  recordLatency(metrics, name, elapsedMs - reply.heldMs);
+}
+
 /** Handles the result of an attempt; returns true if the request has ended. */
 export function handleReply(
   state: EntryState,
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -70,7 +70,10 @@
   isHead: boolean,
 ): void {
   const load: Record<string, string> = reply.report
-    ? {[HEADERS.load]: formatReport(reply.report)}
+    ? {
+        [HEADERS.load]: formatReport(reply.report),
+        [HEADERS.heldMs]: String(Math.round(reply.heldMs ?? 0)),
+      }
     : {};
   switch (reply.kind) {
     case 'answer': {
@@ -140,12 +143,13 @@
   const {answer} = result;
   const {headers} = answer;
   const report = parseReport(readHeader(headers, HEADERS.load));
+  const heldMs = Number(readHeader(headers, HEADERS.heldMs)) || 0;
   const verdict = readHeader(headers, HEADERS.verdict);
   if (verdict === undefined) {
     // Owners report their load in every reply; others are not from an owner.
     if (report) {
       const framed = headers[HEADERS.unframed] === undefined;
-      return {kind: 'answer', answer: {...answer, framed}, report};
+      return {kind: 'answer', answer: {...answer, framed}, report, heldMs};
     }
     return {kind: 'broken', outcome: 'crossedAnswer', code: 'NO_REPORT'};
   }
@@ -160,10 +164,11 @@
       reachedUpstream: verdict === REFUSED_BY_UPSTREAM,
       retryAfterMs: Number(readHeader(headers, HEADERS.retryMs)) || 0,
       report,
+      heldMs,
     };
   }
   const outcome = selectOutcome(reason, 'mayHaveRun', 'connectionBroken');
-  return {kind: 'broken', outcome, code: 'OWNER', report};
+  return {kind: 'broken', outcome, code: 'OWNER', report, heldMs};
 }
 
 /** Returns the reason, or the fallback when it contradicts the verdict. */
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {count, formatReport, HEADERS} from '../internal.js';
 import {readBody} from '../daemon/http.js';
+import {recordLatency} from '../daemon/metrics.js';
 import type {SidecarBoard} from './board.js';
 import {
   CRASH_PATH,
@@ -52,7 +53,12 @@
     if (!res.writableFinished) call.abort();
   });
   const reply = await call.result;
-  if (!res.destroyed) writeReply(res, reply, req.method === 'HEAD');
+  if (res.destroyed) return;
+  const writtenAt = board.now();
+  res.once('finish', () => {
+    recordLatency(board.metrics, 'reply_write', board.now() - writtenAt);
+  });
+  writeReply(res, reply, req.method === 'HEAD');
 }
 
 /** Reads a body; undefined if there is none or it is too large. Rejects when
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -152,7 +152,8 @@
     settled = true;
     clearTimeout(timer);
     state.active--;
-    settle({...reply, report: readReport(board)});
+    const heldMs = board.now() - arrivedAt;
+    settle({...reply, report: readReport(board), heldMs});
   };
   const refuse = (
     outcome: Outcome,
@@ -183,6 +184,7 @@
         return;
       }
       const startedAt = board.now();
+      recordLatency(board.metrics, 'owner_queue', startedAt - arrivedAt);
       call = startCall(state, request, deadlineAt);
       state.running.add(request);
       void call.result.then(httpResult => {
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -47,6 +47,7 @@
       // A planned stop must not cut a request that may be running.
       if (board.stopping) return;
       contact.open.delete(openForward);
+      count(board, 'forwards_given_up');
       resolve({
         kind: 'broken',
         outcome: 'connectionBroken',
