Pace large replies of owners to the rate of the link

Cause: an owner handed an answer of 90 kB or more to its connection at once. The link of a small instance carries 1.2 MB/s, so some of them in parallel delayed every small answer on the link: calls of upstreams, liveness probes, polls. Daemons whose probes were late were taken for silent and their requests given up and asked again.

A planned stop waits for replies that have not left yet.

Ruled out: the slots of upstreams, whose queues empty as soon as the calls are answered in time.

--- a/__tests__/platform_decode.test.ts
+++ b/__tests__/platform_decode.test.ts
@@ -113,7 +113,7 @@
     node: 'sidecar-a-1',
     ip: '10.1.0.8',
     zone: 'dc1',
-    limits: {memory_mb: 350},
+    limits: {memory_mb: 350, link_mbps: 1_000},
     app_addr: '10.1.0.8:8301',
     service: 's',
     unknown_field: true,
--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -422,3 +422,47 @@
     t.is(entry.counters.get('route_book_failed'), 1);
   },
 );
+
+// Owners handed large answers to their connections at once. On a small link
+// every small answer waited behind them, and calls of upstreams failed.
+test.serial(
+  'a small answer does not wait behind a large one to another daemon',
+  async t => {
+    const harness = await startHarness(t, ['dc1', 'dc1'], {
+      linkBytesPerS: 400_000,
+    });
+    const {board} = harness.sidecars[0];
+    const large = 'x'.repeat(200_000);
+    harness.upstreams[1].handle = (req, res) =>
+      answerOk(req, res, req.url?.startsWith('/slow/') ? large : 'small');
+    for (let i = 0; i < 50; i++) recordTargetSend(board.balance, 'u0');
+    const ended: string[] = [];
+    const ask = async (path: string) => {
+      const {body} = await harness.send(0, {path, deadlineMs: 5_000});
+      ended.push(path);
+      return body;
+    };
+    const largeAnswer = ask('/slow/1');
+    const owner = harness.sidecars[1].board;
+    await until(() => owner.metrics.histograms.has('upstream'));
+    t.is(await ask('/read/1'), 'small');
+    t.is(await largeAnswer, large);
+    t.deepEqual(ended, ['/read/1', '/slow/1']);
+  },
+);
+
+// A large reply that waits for the link must not be cut by a planned stop.
+test.serial('a stopping daemon sends waiting replies to the end', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1'], {
+    linkBytesPerS: 100_000,
+  });
+  const [entry, owner] = harness.sidecars;
+  const large = 'x'.repeat(120_000);
+  harness.upstreams[1].handle = (req, res) => answerOk(req, res, large);
+  for (let i = 0; i < 50; i++) recordTargetSend(entry.board.balance, 'u0');
+  const answer = harness.send(0, {path: '/slow/1', deadlineMs: 5_000});
+  await until(() => owner.board.pacer.messages.size === 1);
+  await owner.stop();
+  t.is(owner.board.pacer.messages.size, 0);
+  t.is((await answer).body, large);
+});
--- a/__tests__/support/sidecar_harness.ts
+++ b/__tests__/support/sidecar_harness.ts
@@ -131,6 +131,7 @@
 export async function startHarness(
   t: ExecutionContext,
   dataCentres: readonly string[],
+  options: {linkBytesPerS?: number} = {},
 ): Promise<SidecarHarness> {
   const store = createFakeStore();
   const lines: string[] = [];
@@ -202,6 +203,7 @@
       seeds,
       upstream: {host, port},
       memoryMb: 128,
+      linkBytesPerS: options.linkBytesPerS ?? 1e9,
       graceMs: 2_000,
       resends: {ratio: 0.2, slack: 50, windowMs: 10_000},
     };
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -42,6 +42,7 @@
 export * from './core/resend_budget.js';
 export * from './core/peer_contact.js';
 export * from './core/concurrency_limiter.js';
+export * from './core/link_pacer.js';
 export * from './core/explain.js';
 export * from './core/value_delta.js';
 export * from './core/store_mirror.js';
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -3,6 +3,7 @@
   createLoopLag,
   createMirror,
   createPollTurnaround,
+  createLinkPacer,
   createResendBudget,
   createSuspects,
   createUpstreamList,
@@ -11,6 +12,7 @@
   type ConcurrencyLimiter,
   type CopyStatus,
   type HeaderNames,
+  type LinkPacer,
   type ListedUpstream,
   type LoopLag,
   type PeerContacts,
@@ -58,6 +60,7 @@
   readonly splits: SplitState;
   readonly suspects: Suspects;
   readonly limiter: ConcurrencyLimiter;
+  readonly pacer: LinkPacer;
   /** State of the last `copyOverdue` or `copyCurrent` line. */
   overdueLogged: boolean;
   /** True once the process has been asked to stop. */
@@ -104,6 +107,7 @@
     splits: new Map(),
     suspects: createSuspects(),
     limiter: createLimiter(deps.now()),
+    pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     overdueLogged: false,
     stopping: false,
     closed: false,
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -63,11 +63,13 @@
   };
 }
 
-/** Sends the result of an attempt to the entry. */
+/** Sends the result of an attempt to the entry; `endBody` writes the body of an
+ * answer and ends the reply. */
 export function writeReply(
   res: ServerResponse,
   reply: ForwardReply,
   isHead: boolean,
+  endBody: (body: Buffer) => void,
 ): void {
   const load: Record<string, string> = reply.report
     ? {
@@ -86,7 +88,7 @@
       }
       if (!reply.answer.framed) copy[HEADERS.unframed] = '1';
       res.writeHead(status, {...copy, ...load});
-      res.end(body);
+      endBody(body);
       return;
     }
     case 'refused':
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -10,6 +10,7 @@
 } from './crash_reports.js';
 import {readForward, writeReply} from './forward_http.js';
 import type {Owner} from './owner.js';
+import {type ReplyWriter, createReplyWriter} from './reply_writer.js';
 import {ALIVE_PATH} from './peer_probe.js';
 import {serveState, STATE_PATH} from './peer_state.js';
 
@@ -18,11 +19,12 @@
   board: SidecarBoard,
   owner: Owner,
 ): (req: IncomingMessage, res: ServerResponse) => void {
+  const endReply = createReplyWriter(board);
   return (req, res) => {
     const handled =
       req.headers[HEADERS.terms] === undefined
         ? serveControl(board, owner, req, res)
-        : serveForward(board, owner, req, res);
+        : serveForward(board, owner, endReply, req, res);
     handled.catch((err: Error) => {
       count(board, 'inbound_errors');
       board.log.write('notable', 'inboundError', {error: err.message});
@@ -35,6 +37,7 @@
 async function serveForward(
   board: SidecarBoard,
   owner: Owner,
+  endReply: ReplyWriter,
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
@@ -58,7 +61,9 @@
   res.once('finish', () => {
     recordLatency(board.metrics, 'reply_write', board.now() - writtenAt);
   });
-  writeReply(res, reply, req.method === 'HEAD');
+  writeReply(res, reply, req.method === 'HEAD', body =>
+    endReply(res, body, request.rank),
+  );
 }
 
 /** Reads a body; undefined if there is none or it is too large. Rejects when
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,5 +1,5 @@
 import {renderMetrics} from '../daemon/metrics.js';
-import {count, isCold} from '../internal.js';
+import {count, countUnsentBytes, isCold} from '../internal.js';
 import {type SidecarBoard, isSidecarReady, readCopyStatus} from './board.js';
 import type {Entry} from './entry.js';
 import {
@@ -114,6 +114,7 @@
     upstream_queued: limiter.queue.length,
     upstream_cold: Number(isCold(limiter, board.now())),
     upstream_down: Number(limiter.down),
+    link_unsent_bytes: countUnsentBytes(board.pacer),
     log_lines_dropped: board.log.countDropped(),
     ready: Number(isSidecarReady(board)),
     store_copy_age_ms: limitGauge(ageMs),
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -194,7 +194,9 @@
       board.closed = true;
       customerServer.close();
       customerServer.closeIdleConnections();
-      const isBusy = () => entry.countRunning() + owner.countActive() > 0;
+      const {messages} = board.pacer;
+      const isBusy = () =>
+        entry.countRunning() + owner.countActive() + messages.size > 0;
       while (isBusy() && now() < stopAt) await delay(STOP_POLL_MS);
       const running = entry.countRunning();
       log.write('always', 'stopped', {running});
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -70,6 +70,9 @@
   startedAt: z.number().min(0),
 });
 
+/** Link rate assumed when the settings state none (10 Gbit/s). */
+const DEFAULT_LINK_BYTES_PER_S = 1.25e9;
+
 /** Schema of the settings of a sidecar daemon. */
 export const sidecarSettingsSchema = z.object({
   id: NAME,
@@ -91,6 +94,8 @@
   metricsPort: z.int().min(1).max(65_535),
   upstream: z.object({host: NAME, port: z.int().min(1).max(65_535)}),
   memoryMb: z.number().positive(),
+  /** Rate of the instance's network link, bytes per second. */
+  linkBytesPerS: z.number().positive().default(DEFAULT_LINK_BYTES_PER_S),
   /** Time between SIGTERM and the forced end, ms. */
   graceMs: z.number().positive(),
   /** Bounds on resends of all daemons together, per service and window. */
