Give daemons that accept connections more time to answer a probe

Callers saw 502 for requests whose upstreams answered them. Cause: a daemon that did not answer a liveness probe within 0.4 s was taken for silent, its repeatable requests were given up and asked again, which adds load to a fleet that is busy already. A busy daemon differs from one that is cut off: the kernel of its instance still accepts connections.

A probe whose connection was opened now waits for 1.5 s; one that cannot connect still ends after 0.4 s. Excluded upstreams stay so until the longer probe ends.

--- a/src/core/peer_contact.ts
+++ b/src/core/peer_contact.ts
@@ -13,6 +13,12 @@
 /** Timeout of a probe, ms: long enough to retransmit a lost packet. */
 export const PROBE_TIMEOUT_MS = 400;
 
+/**
+ * Timeout of a probe whose connection was opened, ms. The instance of that
+ * daemon is up, so the daemon is probably busy rather than cut off.
+ */
+export const SLOW_PROBE_TIMEOUT_MS = 1_500;
+
 /** Interval between probes of a silent daemon, ms. */
 export const SILENT_PROBE_MS = 500;
 
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -41,6 +41,8 @@
 /** A request in progress. */
 export interface HttpCall {
   readonly result: Promise<HttpResult>;
+  /** True once a connection was open and the request was written to it. */
+  isWritten(): boolean;
   /** Ends the call and closes its connection. */
   abort(): void;
 }
@@ -171,6 +173,10 @@
     this.#settle(result);
   }
 
+  isWritten(): boolean {
+    return this.#written;
+  }
+
   abort(): void {
     this.#end({kind: 'aborted', written: this.#written});
     this.#controller?.abort(CANCELLED);
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -6,6 +6,7 @@
   HEADERS,
   PROBE_TIMEOUT_MS,
   SILENT_PROBE_MS,
+  SLOW_PROBE_TIMEOUT_MS,
   computeProbeAfterMs,
   count,
   getOrCreateContact,
@@ -26,6 +27,11 @@
 /** Lag of the event loop above which probes say nothing about others, ms. */
 const MAX_PROBE_LAG_MS = 100;
 
+/** Time for which the upstreams of a silent daemon are excluded, ms: the next
+ * probe has ended by then. */
+const SILENT_EXCLUSION_MS =
+  SILENT_PROBE_MS + SLOW_PROBE_TIMEOUT_MS + PROBE_TIMEOUT_MS;
+
 /** Path of the liveness probe; the answer carries the load of the daemon. */
 export const ALIVE_PATH = '/.well-known/berylbend/alive';
 
@@ -119,7 +125,13 @@
     body: undefined,
   };
   const call = client.send(origin, request, startedAt);
-  const cancelTimeout = setReplyTimeout(() => call.abort(), PROBE_TIMEOUT_MS);
+  const abort = () => call.abort();
+  let cancelTimeout = setReplyTimeout(() => {
+    if (!call.isWritten()) return abort();
+    count(board, 'peer_probes_slow');
+    const extraMs = SLOW_PROBE_TIMEOUT_MS - PROBE_TIMEOUT_MS;
+    cancelTimeout = setReplyTimeout(abort, extraMs);
+  }, PROBE_TIMEOUT_MS);
   const result = await call.result;
   cancelTimeout();
   contact.probing = false;
@@ -168,14 +180,8 @@
       heardAgoMs: Math.round(Math.min(now - contact.lastSeenAt, 1e6)),
     });
   }
-  // Excluded until the next probe has ended.
   for (const id of upstreams) {
-    excludeTarget(
-      board.balance,
-      id,
-      SILENT_PROBE_MS + 2 * PROBE_TIMEOUT_MS,
-      now,
-    );
+    excludeTarget(board.balance, id, SILENT_EXCLUSION_MS, now);
   }
   markPeerSilent(contact);
 }
