Limit the rate of liveness probes

A daemon sends 20 probes a second and 80 in a burst, enough for a data centre that is cut off at once; the host probed longest ago goes first.

Tests: peer_probe.test.ts, "the rate of probes is limited" (before: 160 of 160 hosts were probed at once); peer_contact.test.ts, "the host that was probed longest ago is listed first".

--- a/__tests__/peer_contact.test.ts
+++ b/__tests__/peer_contact.test.ts
@@ -85,3 +85,13 @@
   t.deepEqual(listHostsToProbe(contacts, 1_599), []);
   t.deepEqual(listHostsToProbe(contacts, 1_600), ['h']);
 });
+
+test('the host that was probed longest ago is listed first', t => {
+  const contacts: PeerContacts = new Map();
+  for (const [host, probedAt] of Object.entries({a: 20, b: 10, c: -Infinity})) {
+    const contact = getOrCreateContact(contacts, host);
+    contact.probedAt = probedAt;
+    contact.open.add({sentAt: 0, probeAfterMs: PROBE_AFTER_MS});
+  }
+  t.deepEqual(listHostsToProbe(contacts, 1_000), ['c', 'b', 'a']);
+});
--- a/__tests__/peer_probe.test.ts
+++ b/__tests__/peer_probe.test.ts
@@ -3,7 +3,10 @@
 import {
   PROBE_TIMEOUT_MS,
   SLOW_PROBE_TIMEOUT_MS,
+  PROBES_PER_S,
   PROBE_AFTER_MS,
+  PROBE_BURST,
+  createTokenBucket,
   getOrCreateContact,
   type PeerContacts,
 } from '../src/internal.js';
@@ -17,7 +20,13 @@
 function createHarness() {
   const contacts: PeerContacts = new Map();
   const contact = getOrCreateContact(contacts, HOST);
-  const state = {lagMs: 0, probes: 0, gaveUp: 0, written: true};
+  const state = {
+    lagMs: 0,
+    probes: 0,
+    gaveUp: 0,
+    written: true,
+    now: 2 * PROBE_AFTER_MS,
+  };
   const probeAfterMs = PROBE_AFTER_MS;
   const giveUp = () => state.gaveUp++;
   contact.open.add({sentAt: 0, probeAfterMs, giveUp});
@@ -26,10 +35,11 @@
     settings: {peerPort: 1},
     list: {byId: new Map()},
     balance: new Map(),
+    probeTokens: createTokenBucket(PROBES_PER_S, PROBE_BURST, 0),
     counters: new Map(),
     lag: {read: () => state.lagMs},
     log: {write: () => undefined},
-    now: () => 2 * PROBE_AFTER_MS,
+    now: () => state.now,
   } as unknown as SidecarBoard;
   let settle!: (result: HttpResult) => void;
   const client: HttpClient = {
@@ -47,7 +57,7 @@
     settle({kind: 'aborted', written: true});
     await new Promise(resolve => setImmediate(resolve));
   };
-  return {state, contact, probe, failProbe};
+  return {state, contact, contacts, probe, failProbe};
 }
 
 // An overloaded daemon took all others for silent: it ended their requests and
@@ -78,6 +88,20 @@
   t.is(state.gaveUp, 1);
 });
 
+// When all daemons were slow, each sent as many probes as requests.
+test('the rate of probes is limited', t => {
+  const {state, contacts, probe} = createHarness();
+  for (let i = 0; i < 2 * PROBE_BURST; i++) {
+    const {open} = getOrCreateContact(contacts, `10.0.1.${i}`);
+    open.add({sentAt: 0, probeAfterMs: PROBE_AFTER_MS});
+  }
+  probe();
+  t.is(state.probes, PROBE_BURST);
+  state.now += 1_000;
+  probe();
+  t.is(state.probes, PROBE_BURST + PROBES_PER_S);
+});
+
 // Overloaded daemons were taken for silent: their requests were given up and
 // asked again elsewhere while the answers still came.
 test.serial('a daemon that accepts connections gets more time', async t => {
--- a/src/core/peer_contact.ts
+++ b/src/core/peer_contact.ts
@@ -22,6 +22,11 @@
 /** Interval between probes of a silent daemon, ms. */
 export const SILENT_PROBE_MS = 500;
 
+/** Probes that one daemon sends per second, and in a burst. Without a limit busy
+ * daemons probe each other as often as they forward requests. */
+export const PROBES_PER_S = 20;
+export const PROBE_BURST = 80;
+
 /** A forwarded request that has no answer yet. */
 export interface OpenForward {
   readonly sentAt: number;
@@ -87,16 +92,20 @@
   return Math.min(MAX_PROBE_AFTER_MS, Math.max(PROBE_AFTER_MS, waitMs));
 }
 
-/** Lists the hosts whose probe is due. */
+/** Lists the hosts whose probe is due, the one probed longest ago first. */
 export function listHostsToProbe(
   contacts: PeerContacts,
   now: number,
 ): string[] {
-  const due: string[] = [];
-  for (const [host, contact] of contacts) {
-    if (!contact.probing && needsProbe(contact, now)) due.push(host);
-  }
-  return due;
+  return [...contacts]
+    .filter(([, contact]) => !contact.probing && needsProbe(contact, now))
+    .sort(([, a], [, b]) => compareProbedAt(a, b))
+    .map(([host]) => host);
+}
+
+function compareProbedAt(a: PeerContact, b: PeerContact): number {
+  if (a.probedAt === b.probedAt) return 0;
+  return a.probedAt < b.probedAt ? -1 : 1;
 }
 
 function needsProbe(contact: PeerContact, now: number): boolean {
--- /dev/null
+++ b/src/core/token_bucket.ts
@@ -0,0 +1,31 @@
+/** Limits a rate; holds up to `capacity` tokens for bursts. */
+export interface TokenBucket {
+  perS: number;
+  capacity: number;
+  tokens: number;
+  refilledAt: number;
+}
+
+/** Creates a full bucket. `now` is monotonic time, ms. */
+export function createTokenBucket(
+  perS: number,
+  capacity: number,
+  now: number,
+): TokenBucket {
+  return {perS, capacity, tokens: capacity, refilledAt: now};
+}
+
+/** Takes one token; false when none is left. */
+export function takeToken(bucket: TokenBucket, now: number): boolean {
+  refillBucket(bucket, now);
+  if (bucket.tokens < 1) return false;
+  bucket.tokens--;
+  return true;
+}
+
+/** Adds the tokens gained since the last call. */
+function refillBucket(bucket: TokenBucket, now: number): void {
+  const gained = ((now - bucket.refilledAt) / 1_000) * bucket.perS;
+  bucket.tokens = Math.min(bucket.capacity, bucket.tokens + gained);
+  bucket.refilledAt = now;
+}
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -6,6 +6,7 @@
   createLinkPacer,
   createResendBudget,
   createSuspects,
+  createTokenBucket,
   createUpstreamList,
   isCopyOverdue,
   type BalanceState,
@@ -24,7 +25,10 @@
   type SplitState,
   type StoreMirror,
   type Suspects,
+  type TokenBucket,
   type UpstreamList,
+  PROBES_PER_S,
+  PROBE_BURST,
   findByAddress,
 } from '../internal.js';
 import type {DecisionLog} from './decision_log.js';
@@ -50,6 +54,8 @@
   readonly pendingPolls: Set<() => void>;
   readonly balance: BalanceState;
   readonly contacts: PeerContacts;
+  /** Limits the rate of liveness probes. */
+  readonly probeTokens: TokenBucket;
   /** Monotonic time of the latest message of another daemon, ms. */
   peerHeardAt: number;
   /** Mean size of request plus answer by route name, bytes. */
@@ -100,6 +106,7 @@
     pendingPolls: new Set(),
     balance: new Map(),
     contacts: new Map(),
+    probeTokens: createTokenBucket(PROBES_PER_S, PROBE_BURST, deps.now()),
     peerHeardAt: -Infinity,
     routeBytes: new Map(),
     countedRoutes: new Set(),
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -18,6 +18,7 @@
   predictReplyMs,
   readmitTarget,
   setReplyTimeout,
+  takeToken,
 } from '../internal.js';
 import type {SidecarBoard} from './board.js';
 import type {ForwardCall, ForwardReply} from './forward.js';
@@ -102,7 +103,12 @@
  */
 export function probeQuietPeers(board: SidecarBoard, client: HttpClient): void {
   if (board.lag.read() > MAX_PROBE_LAG_MS) return;
-  for (const host of listHostsToProbe(board.contacts, board.now())) {
+  const now = board.now();
+  for (const host of listHostsToProbe(board.contacts, now)) {
+    if (!takeToken(board.probeTokens, now)) {
+      count(board, 'peer_probe_rounds_limited');
+      return;
+    }
     void probe(board, client, host);
   }
 }
