Report requests that wait for a busy event loop as load

Its load report now adds the requests that are expected to wait unread at its lag.

Test: balance.test.ts, "an upstream whose daemon lags is avoided".

--- a/__tests__/balance.test.ts
+++ b/__tests__/balance.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import {
   chooseTarget,
+  countWaiting,
+  createLimiter,
   createRandom,
   createUpstreamList,
   ejectTarget,
@@ -77,6 +79,24 @@
   t.is(choose(first + 1), 'near');
 });
 
+// Daemons that were too busy to start requests reported no load, so all others
+// sent them more, which they refused as too late.
+test('an upstream whose daemon lags is avoided', t => {
+  const {state, choose} = createHarness();
+  const limiter = createLimiter(0);
+  limiter.slots = 4;
+  const report = (lagMs: number): LoadReport => ({
+    ...idle,
+    queued: countWaiting(limiter, lagMs),
+  });
+  recordTargetEnd(state, 'near', report(0), 0);
+  t.is(choose(0), 'near');
+  recordTargetEnd(state, 'near', report(500), 0);
+  t.is(choose(0), 'far');
+  const longest = report(1e9);
+  t.deepEqual(parseReport(formatReport(longest)), longest);
+});
+
 test('an upstream that fails most requests is avoided', t => {
   const {list, state, choose} = createHarness();
   putUpstream(list, makeUpstream({id: 'near2', port: 3}), 0);
--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -27,6 +27,7 @@
 /** Load of an upstream, reported by its daemon. */
 export interface LoadReport {
   readonly inFlight: number;
+  /** Requests that wait for a slot, or unread for the daemon. */
   readonly queued: number;
   readonly slots: number;
   readonly meanMs: number;
--- a/src/core/concurrency_limiter.ts
+++ b/src/core/concurrency_limiter.ts
@@ -19,6 +19,9 @@
  */
 const LATE_WAIT_SHARE = 0.5;
 
+/** Maximum number of requests that count as waiting unread. */
+const MAX_UNREAD = 10_000;
+
 /** Why a request was not started. */
 export type LimiterRefusal =
   'full' | 'cold' | 'deadlineTooShort' | 'upstreamDown';
@@ -134,6 +137,19 @@
   return Math.max(1, remainingMs - neededMs);
 }
 
+/**
+ * Number of requests that wait: queued ones and, at the same rate, those that
+ * wait unread while the event loop lags. Without the latter a daemon that is
+ * too busy to start requests would look idle to others.
+ */
+export function countWaiting(
+  {queue, slots, meanMs}: ConcurrencyLimiter,
+  lagMs: number,
+): number {
+  const unread = (lagMs / Math.max(1, meanMs)) * slots;
+  return queue.length + Math.min(MAX_UNREAD, Math.round(unread));
+}
+
 /** Expected queue time of a request that arrives now, ms. */
 export function predictWaitMs(
   limiter: ConcurrencyLimiter,
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -7,6 +7,7 @@
   admit,
   computeMaxWaitMs,
   count,
+  countWaiting,
   isCold,
   recordFinished,
   release,
@@ -96,7 +97,7 @@
   const own = findOwnUpstream(board);
   return {
     inFlight: limiter.inFlight,
-    queued: limiter.queue.length,
+    queued: countWaiting(limiter, board.lag.read()),
     slots: limiter.slots,
     meanMs: limiter.meanMs,
     failShare: limiter.failShare,
