Refuse a request after two upstreams had no room

The owner with the least load is asked first, so the others are probably full too. The request is refused as not run after the second refusal, at once, with the shortest time that an owner named.

Test: sidecar.test.ts, "a request is refused after two upstreams had no room" (four refusals before).

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -466,3 +466,24 @@
   t.is(owner.board.pacer.messages.size, 0);
   t.is((await answer).body, large);
 });
+
+// In an overload each request was offered to five owners in turn. The refusals
+// took the processor time that answers needed.
+test.serial('a request is refused after two upstreams had no room', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1', 'dc1', 'dc1']);
+  const boards = harness.sidecars.map(({board}) => board);
+  for (const {limiter} of boards) {
+    limiter.inFlight = limiter.slots;
+    limiter.meanMs = 60_000;
+  }
+  const answer = await harness.send(0);
+  t.is(answer.status, 503);
+  t.true(Number(answer.headers['retry-after']) > 0);
+  const refusals = boards.map(({counters}) =>
+    Number(counters.get('owner_refused_full') ?? 0),
+  );
+  t.is(
+    refusals.reduce((sum, refused) => sum + refused, 0),
+    2,
+  );
+});
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -55,6 +55,8 @@
   attempts: number;
   /** All attempts to forward, including refused ones. */
   forwards: number;
+  /** Refusals for lack of room so far. */
+  fullRefusals: number;
   /** Outcome to report if no further attempt succeeds. */
   outcome?: Outcome;
   /** Latest error answer (status 5xx) of an upstream. */
@@ -96,6 +98,7 @@
     tried: new Set(),
     attempts: 0,
     forwards: 0,
+    fullRefusals: 0,
     retryAfterMs: Infinity,
     upstreamId: '',
     ended: false,
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -20,6 +20,12 @@
 import type {HttpAnswer} from './http_client.js';
 import {awaitPeerReply} from './peer_probe.js';
 
+/**
+ * Refusals for lack of room after which a request is refused: the upstreams
+ * with the least load were asked, so the others are probably full too.
+ */
+const MAX_FULL_REFUSALS = 2;
+
 /** Minimum time left for a resend, ms; a typical request takes that long. */
 const MIN_RESEND_REMAINING_MS = 20;
 
@@ -44,6 +50,7 @@
   exchange: Exchange,
 ): ListedUpstream | undefined {
   if (exchange.forwards >= MAX_FORWARDS) return undefined;
+  if (exchange.fullRefusals >= MAX_FULL_REFUSALS) return undefined;
   return chooseTarget(
     board.balance,
     board.list.byService.get(exchange.service) ?? [],
@@ -206,6 +213,7 @@
     const {balance, now} = board;
     excludeTarget(balance, upstream.id, STALE_EXCLUSION_MS, now());
   } else if (outcome === 'full' || outcome === 'cold') {
+    exchange.fullRefusals++;
     const rank = exchange.route?.rank ?? 0;
     markTargetFull(board.balance, upstream.id, rank, retryAfterMs, board.now());
   } else if (outcome === 'upstreamDown') {
