Keep to the limit and the stop that upstreams announce in answers

Cause: nothing read the header.

All requests of an upstream pass through its owner, and so do its answers. The owner starts requests at the stated rate, refuses those that would wait too long and reports the slots that the rate can fill. The limit ends with the first answer that lacks it, or with a restart of the upstream. An upstream that announces its stop is treated as leaving by its owner, and by each entry that has forwarded such an answer, since a restarted owner has forgotten it.

Tests fail before: "requests above the limit of an upstream go elsewhere", "an upstream that announces its stop gets no requests" (6 runs for 1), "an entry remembers that an upstream announced its stop"; and of the limiter "an upstream gets no more requests than the limit that it states".

--- a/__tests__/concurrency_limiter.test.ts
+++ b/__tests__/concurrency_limiter.test.ts
@@ -8,6 +8,8 @@
   release,
   setCold,
   setColdRate,
+  setStatedRate,
+  countUsableSlots,
   removeQueued,
   type ConcurrencyLimiter,
   type LimiterRequest,
@@ -143,3 +145,45 @@
   t.deepEqual([removed.events, refused.events], [[], ['upstreamDown']]);
   t.false(removeQueued(limiter, removed));
 });
+
+// Upstreams that stated a limit got as many requests as they had slots for.
+test('an upstream gets no more requests than the limit that it states', t => {
+  const limiter = makeWarmLimiter(8);
+  const perS = 6;
+  setStatedRate(limiter, perS, 0);
+  t.is(countUsableSlots(limiter), 1);
+  const starts: number[] = [];
+  for (let now = 0; now < 20_000; now += 10) {
+    const request = makeRequest({
+      goalAt: now + 300,
+      deadlineAt: now + 1_000,
+      start: () => starts.push(now),
+    });
+    admit(limiter, request, now);
+    startQueued(limiter, now);
+    while (limiter.inFlight > 0) release(limiter, 'r', 5, 'answered', now);
+  }
+  for (const from of starts) {
+    const inWindow = starts.filter(at => at >= from && at < from + 4_000);
+    t.true(inWindow.length <= perS * 4 + 2);
+  }
+  t.true(starts.length >= perS * 20 * 0.9);
+  setStatedRate(limiter, undefined, 20_000);
+  t.is(countUsableSlots(limiter), 8);
+  const requests = [makeRequest(), makeRequest(), makeRequest()];
+  for (const request of requests) {
+    admit(limiter, {...request, goalAt: 30_000, deadlineAt: 30_000}, 20_000);
+  }
+  t.true(requests.every(({events}) => events.includes('start')));
+});
+
+test('an upstream that takes no requests still gets one now and then', t => {
+  const limiter = makeWarmLimiter(1);
+  setStatedRate(limiter, 0, 0);
+  const refused = makeRequest();
+  admit(limiter, refused, 0);
+  t.deepEqual(refused.events, ['full']);
+  const admitted = makeRequest({goalAt: 11_000, deadlineAt: 11_000});
+  admit(limiter, admitted, 10_000);
+  t.deepEqual(admitted.events, ['start']);
+});
--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import test from 'ava';
 import {isCold, recordTargetSend, rankReaders} from '../src/internal.js';
+import {isLeaving} from '../src/sidecar/announcements.js';
 import {answerOk, startHarness, until} from './support/sidecar_harness.js';
 
 test.serial(
@@ -487,3 +488,74 @@
     2,
   );
 });
+
+// Upstreams that stated a limit in their answers got far more requests.
+test.serial('requests above the limit of an upstream go elsewhere', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1']);
+  const [limited, other] = harness.upstreams;
+  const {balance} = harness.sidecars[0].board;
+  for (let i = 0; i < 50; i++) recordTargetSend(balance, other.id);
+  limited.handle = (req, res) => {
+    res.setHeader('server-limit', '2');
+    answerOk(req, res);
+  };
+  t.is((await harness.send(0)).headers['server-limit'], '2');
+  const runsBefore = limited.runs.length;
+  const answers = await Promise.all(
+    Array.from({length: 20}, (_, i) => harness.send(0, {path: `/read/${i}`})),
+  );
+  t.true(answers.every(({status}) => status === 200));
+  t.true(limited.runs.length - runsBefore <= 1);
+  t.true(other.runs.length >= 19);
+});
+
+// An upstream that had said in an answer that it leaves got requests until its
+// list entry changed.
+test.serial('an upstream that announces its stop gets no requests', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1']);
+  const [leaving, other] = harness.upstreams;
+  for (const {board} of harness.sidecars) {
+    for (let i = 0; i < 50; i++) recordTargetSend(board.balance, other.id);
+  }
+  leaving.handle = (req, res) => {
+    res.setHeader('server-leaving', '1');
+    answerOk(req, res);
+  };
+  t.is((await harness.send(0)).status, 200);
+  t.is(leaving.runs.length, 1);
+  for (let i = 0; i < 5; i++) t.is((await harness.send(i % 2)).status, 200);
+  t.is(leaving.runs.length, 1);
+  const [{board}] = harness.sidecars;
+  t.is(board.list.byId.get('u0')?.state, 'live');
+  harness.store.put('servers/u0', {
+    addr: `${leaving.host}:${leaving.port}`,
+    born: 2_000,
+    info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
+    status: {state: 'ready', sequence: 1, cold_left: '0ms'},
+  });
+  await until(() => {
+    const restarted = board.list.byId.get('u0');
+    return restarted?.startedAt === 2_000 && !isLeaving(board, restarted);
+  });
+});
+
+// A restarted owner does not know the announcement; entries that have forwarded
+// it must not send the upstream more.
+test.serial(
+  'an entry remembers that an upstream announced its stop',
+  async t => {
+    const harness = await startHarness(t, ['dc1', 'dc1']);
+    const [own, leaving] = harness.upstreams;
+    const [entry, owner] = harness.sidecars;
+    for (let i = 0; i < 50; i++) recordTargetSend(entry.board.balance, own.id);
+    leaving.handle = (req, res) => {
+      res.setHeader('server-leaving', '1');
+      answerOk(req, res);
+    };
+    t.is((await harness.send(0)).status, 200);
+    t.is(leaving.runs.length, 1);
+    owner.board.announcedLeaving.clear();
+    for (let i = 0; i < 5; i++) t.is((await harness.send(0)).status, 200);
+    t.is(leaving.runs.length, 1);
+  },
+);
--- a/src/core/concurrency_limiter.ts
+++ b/src/core/concurrency_limiter.ts
@@ -1,9 +1,24 @@
+import {
+  type TokenBucket,
+  computeTokenWaitMs,
+  createTokenBucket,
+  emptyBucket,
+  takeToken,
+} from './token_bucket.js';
+
 /** Rate of a cold upstream whose rate is unknown, requests per second. */
 const DEFAULT_COLD_PER_S = 5;
 
 /** Token bucket capacity of a cold upstream, requests. */
 const COLD_BURST = 3;
 
+/** Lowest rate that a stated limit sets, requests per second: an upstream that
+ * gets none could not withdraw its limit. */
+const MIN_STATED_PER_S = 0.2;
+
+/** Token bucket capacity of a stated limit, seconds of its rate. */
+const STATED_BURST_S = 0.25;
+
 /** Smoothing factor of the mean time in a slot. */
 const MEAN_GAIN = 0.1;
 
@@ -46,8 +61,8 @@
 }
 
 /**
- * Limits concurrency and cold rate of the local upstream. All its requests
- * pass through here, so the limits need no coordination between daemons.
+ * Limits concurrency and rate of the local upstream. All its requests pass
+ * through here, so the limits need no coordination between daemons.
  */
 export interface ConcurrencyLimiter {
   slots: number;
@@ -55,9 +70,12 @@
   queue: QueuedRequest[];
   /** Monotonic time up to which the upstream counts as cold, ms. */
   coldUntil: number;
-  coldPerS: number;
-  coldTokens: number;
-  refilledAt: number;
+  /** Limits the rate of requests while the upstream is cold. */
+  readonly coldRate: TokenBucket;
+  /** Limit that the upstream states, requests per second. */
+  statedPerS?: number;
+  /** Limits the rate of requests while the upstream states a limit. */
+  statedRate?: TokenBucket;
   down: boolean;
   /** Mean time that a request holds its slot, ms. */
   meanMs: number;
@@ -73,9 +91,10 @@
     inFlight: 0,
     queue: [],
     coldUntil: Infinity,
-    coldPerS: DEFAULT_COLD_PER_S,
-    coldTokens: 1,
-    refilledAt: now,
+    coldRate: {
+      ...createTokenBucket(DEFAULT_COLD_PER_S, COLD_BURST, now),
+      tokens: 1,
+    },
     down: false,
     meanMs: INITIAL_MEAN_MS,
     meanByKind: new Map(),
@@ -96,21 +115,64 @@
 ): void {
   if (!isCold(limiter, now) && forMs > 0) {
     // Requests that were just started also count against the cold rate.
-    limiter.coldTokens = 0;
-    limiter.refilledAt = now;
+    emptyBucket(limiter.coldRate, now);
   }
   limiter.coldUntil = now + forMs;
 }
 
 /** Sets the rate that the upstream sustains while cold, per s; 0 if unknown. */
 export function setColdRate(limiter: ConcurrencyLimiter, perS: number): void {
-  limiter.coldPerS = perS > 0 ? perS : DEFAULT_COLD_PER_S;
+  limiter.coldRate.perS = perS > 0 ? perS : DEFAULT_COLD_PER_S;
+}
+
+/** Sets the limit that the upstream states, requests per second; undefined when
+ * it states none. */
+export function setStatedRate(
+  limiter: ConcurrencyLimiter,
+  perS: number | undefined,
+  now: number,
+): void {
+  limiter.statedPerS = perS;
+  if (perS === undefined) {
+    limiter.statedRate = undefined;
+    return;
+  }
+  if (!limiter.statedRate) {
+    limiter.statedRate = createTokenBucket(perS, 1, now);
+    emptyBucket(limiter.statedRate, now);
+  }
+  limiter.statedRate.perS = Math.max(MIN_STATED_PER_S, perS);
+  limiter.statedRate.capacity = Math.max(1, perS * STATED_BURST_S);
+}
+
+/** Slots that requests can fill at the rate that the upstream states. */
+export function countUsableSlots({
+  slots,
+  statedPerS,
+  meanMs,
+}: ConcurrencyLimiter): number {
+  if (statedPerS === undefined) return slots;
+  const busySlots = Math.ceil((statedPerS * meanMs) / 1_000);
+  return Math.min(slots, Math.max(1, busySlots));
 }
 
-function refillCold(limiter: ConcurrencyLimiter, now: number): void {
-  const gained = ((now - limiter.refilledAt) / 1_000) * limiter.coldPerS;
-  limiter.coldTokens = Math.min(COLD_BURST, limiter.coldTokens + gained);
-  limiter.refilledAt = now;
+/** Buckets that limit the rate of requests now. */
+function listRates(limiter: ConcurrencyLimiter, now: number): TokenBucket[] {
+  const {coldRate, statedRate} = limiter;
+  const rates = isCold(limiter, now) ? [coldRate] : [];
+  return statedRate ? [...rates, statedRate] : rates;
+}
+
+/** Time until the rates allow `tokens` more requests, ms. */
+function computeRateWaitMs(
+  limiter: ConcurrencyLimiter,
+  tokens: number,
+  now: number,
+): number {
+  const waits = listRates(limiter, now).map(rate =>
+    computeTokenWaitMs(rate, tokens, now),
+  );
+  return Math.max(0, ...waits);
 }
 
 /** Expected time from the start of a request to the end of its answer, ms. */
@@ -157,16 +219,10 @@
   now: number,
 ): number {
   const ahead = limiter.queue.filter(item => item.request.rank <= rank).length;
-  const cold = isCold(limiter, now);
-  if (cold) refillCold(limiter, now);
-  const free =
-    limiter.inFlight < limiter.slots && (!cold || limiter.coldTokens >= 1);
-  if (free && ahead === 0) return 0;
+  const rateMs = computeRateWaitMs(limiter, ahead + 1, now);
   const missing = Math.max(0, ahead + 1 - (limiter.slots - limiter.inFlight));
   const slotMs = (missing * limiter.meanMs) / limiter.slots;
-  if (!cold) return slotMs;
-  const tokens = Math.max(0, ahead + 1 - limiter.coldTokens);
-  return Math.max(slotMs, (tokens * 1_000) / limiter.coldPerS);
+  return Math.max(slotMs, rateMs);
 }
 
 /**
@@ -221,26 +277,22 @@
 
 /**
  * Starts queued requests while the limits allow it. Returns the time until the
- * cold rate allows the next start, ms; undefined when no request waits for it.
+ * rates allow the next start, ms; undefined when no request waits for them.
  */
 export function startQueued(
   limiter: ConcurrencyLimiter,
   now: number,
 ): number | undefined {
   while (limiter.queue.length > 0 && limiter.inFlight < limiter.slots) {
-    if (isCold(limiter, now)) {
-      refillCold(limiter, now);
-      if (limiter.coldTokens < 1) {
-        return ((1 - limiter.coldTokens) * 1_000) / limiter.coldPerS;
-      }
-    }
+    const waitMs = computeRateWaitMs(limiter, 1, now);
+    if (waitMs > 0) return waitMs;
     const {request, since} = limiter.queue.shift() as QueuedRequest;
     const late = now + predictRunMs(limiter, request.kind) > request.deadlineAt;
     if (now >= request.deadlineAt || (late && now > since)) {
       request.refuse('deadlineTooShort', 0);
       continue;
     }
-    if (isCold(limiter, now)) limiter.coldTokens--;
+    for (const rate of listRates(limiter, now)) takeToken(rate, now);
     limiter.inFlight++;
     request.start();
   }
--- a/src/core/token_bucket.ts
+++ b/src/core/token_bucket.ts
@@ -23,6 +23,23 @@
   return true;
 }
 
+/** Time until the bucket holds `tokens` tokens at its rate, ms. */
+export function computeTokenWaitMs(
+  bucket: TokenBucket,
+  tokens: number,
+  now: number,
+): number {
+  refillBucket(bucket, now);
+  const missing = Math.max(0, tokens - bucket.tokens);
+  return missing === 0 ? 0 : (missing * 1_000) / bucket.perS;
+}
+
+/** Removes all tokens. */
+export function emptyBucket(bucket: TokenBucket, now: number): void {
+  bucket.tokens = 0;
+  bucket.refilledAt = now;
+}
+
 /** Adds the tokens gained since the last call. */
 function refillBucket(bucket: TokenBucket, now: number): void {
   const gained = ((now - bucket.refilledAt) / 1_000) * bucket.perS;
--- /dev/null
+++ b/src/sidecar/announcements.ts
@@ -0,0 +1,55 @@
+import {type ListedUpstream, setStatedRate} from '../internal.js';
+import {type SidecarBoard, findOwnUpstream} from './board.js';
+import type {ForwardRequest} from './forward.js';
+import {readHeader} from './header_copy.js';
+import type {HttpAnswer} from './http_client.js';
+
+/** True when the list or the upstream itself says that it is about to stop. */
+export function isLeaving(
+  {announcedLeaving}: SidecarBoard,
+  {id, state, startedAt}: ListedUpstream,
+): boolean {
+  return state === 'leaving' || announcedLeaving.get(id) === startedAt;
+}
+
+/** Records at an owner or entry that an upstream says in an answer that it is
+ * about to stop. */
+export function recordLeaving(
+  {names, announcedLeaving, log}: SidecarBoard,
+  {id, startedAt}: ListedUpstream,
+  {headers}: HttpAnswer,
+): void {
+  if (headers[names.leaving] !== '1') return;
+  if (announcedLeaving.get(id) === startedAt) return;
+  announcedLeaving.set(id, startedAt);
+  log.write('always', 'upstreamAnnouncedLeaving', {upstream: id});
+}
+
+/** Applies what an answer of the local upstream says about itself: a limit on its
+ * requests, and that it is about to stop. */
+export function applyAnnouncements(
+  board: SidecarBoard,
+  {upstreamId}: ForwardRequest,
+  answer: HttpAnswer,
+): void {
+  const {names, limiter, log} = board;
+  const value = readHeader(answer.headers, names.requestLimit);
+  const stated = Number(value ?? NaN);
+  const limitPerS = stated >= 0 ? stated : undefined;
+  if (limitPerS !== limiter.statedPerS) {
+    setStatedRate(limiter, limitPerS, board.now());
+    log.write('notable', 'upstreamLimit', {upstream: upstreamId, limitPerS});
+  }
+  const own = findOwnUpstream(board);
+  if (own?.id === upstreamId) recordLeaving(board, own, answer);
+}
+
+/** Forgets announcements of upstreams that are no longer listed. */
+export function pruneAnnouncements({
+  announcedLeaving,
+  list,
+}: SidecarBoard): void {
+  for (const id of announcedLeaving.keys()) {
+    if (!list.byId.has(id)) announcedLeaving.delete(id);
+  }
+}
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -68,6 +68,9 @@
   readonly suspects: Suspects;
   readonly limiter: ConcurrencyLimiter;
   readonly pacer: LinkPacer;
+  /** Start times of the upstreams that have said that they are about to stop, by
+   * id. */
+  readonly announcedLeaving: Map<string, number>;
   /** State of the last `copyOverdue` or `copyCurrent` line. */
   overdueLogged: boolean;
   /** True once the process has been asked to stop. */
@@ -118,6 +121,7 @@
     suspects: createSuspects(),
     limiter: createLimiter(deps.now()),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
+    announcedLeaving: new Map(),
     overdueLogged: false,
     stopping: false,
     closed: false,
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -12,6 +12,7 @@
   spendResend,
 } from '../internal.js';
 import {recordLatency} from '../daemon/metrics.js';
+import {isLeaving, recordLeaving} from './announcements.js';
 import type {SidecarBoard} from './board.js';
 import {type EntryState, type Exchange, MAX_FORWARDS} from './exchange.js';
 import {finishAnswered, finishRefused, logResend} from './finish.js';
@@ -51,9 +52,10 @@
 ): ListedUpstream | undefined {
   if (exchange.forwards >= MAX_FORWARDS) return undefined;
   if (exchange.fullRefusals >= MAX_FULL_REFUSALS) return undefined;
+  const listed = board.list.byService.get(exchange.service) ?? [];
   return chooseTarget(
     board.balance,
-    board.list.byService.get(exchange.service) ?? [],
+    listed.filter(upstream => !isLeaving(board, upstream)),
     {
       dataCentre: board.settings.dataCentre,
       takenOut: board.list.takenOut,
@@ -156,6 +158,7 @@
     case 'answer':
       exchange.attempts++;
       recordRouteBytes(board, exchange, reply.answer);
+      recordLeaving(board, upstream, reply.answer);
       if (
         reply.answer.status < 500 ||
         !claimResend(state, exchange, isolated)
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -7,12 +7,14 @@
   admit,
   computeMaxWaitMs,
   count,
+  countUsableSlots,
   countWaiting,
   isCold,
   recordFinished,
   release,
   setCold,
   setColdRate,
+  setStatedRate,
   removeQueued,
 } from '../internal.js';
 import {type SidecarBoard, findOwnUpstream} from './board.js';
@@ -22,6 +24,7 @@
   type HttpResult,
   createHttpClient,
 } from './http_client.js';
+import {applyAnnouncements, isLeaving} from './announcements.js';
 import {
   classifyAnswer,
   checkArrival,
@@ -98,11 +101,11 @@
   return {
     inFlight: limiter.inFlight,
     queued: countWaiting(limiter, board.lag.read()),
-    slots: limiter.slots,
+    slots: countUsableSlots(limiter),
     meanMs: limiter.meanMs,
     failShare: limiter.failShare,
     cold: isCold(limiter, board.now()) || limiter.down,
-    leaving: board.stopping || own?.state === 'leaving',
+    leaving: board.stopping || (own !== undefined && isLeaving(board, own)),
   };
 }
 
@@ -122,6 +125,7 @@
   if (own && own.startedAt !== state.startedAt) {
     const initial = state.startedAt === 0;
     state.startedAt = own.startedAt;
+    setStatedRate(limiter, undefined, now);
     if (!initial) handleRestart(state);
   }
   if (own && own.coldUntil > now && !isCold(limiter, now)) {
@@ -283,6 +287,10 @@
   const {answer} = result;
   state.answeredAt = now;
   const answerClass = classifyAnswer(board, request, answer);
+  // A 421 comes from another upstream at the same address.
+  if (answerClass !== 'crossed' && answer.status !== 421) {
+    applyAnnouncements(board, request, answer);
+  }
   if (answerClass === 'notRun') {
     finish('failed');
     refuse(answer.status === 421 ? 'wrongOwner' : 'shed', 0, true);
--- a/src/sidecar/owner_checks.ts
+++ b/src/sidecar/owner_checks.ts
@@ -1,4 +1,5 @@
 import {type Outcome, findByAddress, isCold} from '../internal.js';
+import {isLeaving} from './announcements.js';
 import {type SidecarBoard, isOverdue} from './board.js';
 import type {ForwardRequest} from './forward.js';
 import {readHeader} from './header_copy.js';
@@ -26,8 +27,7 @@
   const {host, port} = settings.upstream;
   const own = findByAddress(list, host, port);
   if (own && own.id !== request.upstreamId) return 'wrongOwner';
-  if (own?.state === 'leaving') return 'leaving';
-  if (!own && list.complete) return 'leaving';
+  if (own ? isLeaving(board, own) : list.complete) return 'leaving';
   return undefined;
 }
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -15,6 +15,7 @@
   startStoreFollower,
 } from '../internal.js';
 import {recordLatency} from '../daemon/metrics.js';
+import {pruneAnnouncements} from './announcements.js';
 import {
   type SidecarBoard,
   createSidecarBoard,
@@ -134,6 +135,7 @@
       if (update) applyUpdate(board, update, at);
     }
     pruneTargets(board.balance, board.list.byId);
+    pruneAnnouncements(board);
     pruneContacts(board.contacts, new Set(listHosts(board.list)));
     owner.sync();
     applyTimeouts(customerServer, board);
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -145,4 +145,9 @@
   readonly upstreamId: string;
   /** Remaining time as a cold upstream, in its health check response, ms. */
   readonly coldMs: string;
+  /** Requests per second that the upstream takes from all instances together;
+   * absent when it states no limit. */
+  readonly requestLimit: string;
+  /** `1` on the responses of an upstream that is about to stop. */
+  readonly leaving: string;
 }
