--- a/src/core/peer_contact.ts
+++ b/src/core/peer_contact.ts
@@ -22,9 +22,11 @@
 /** Interval between probes of a silent daemon, ms. */
 export const SILENT_PROBE_MS = 500;
 
-/** Probes that one daemon sends per second, and in a burst. Without a limit busy
- * daemons probe each other as often as they forward requests. */
+/** Probes that one daemon sends per second. Without a limit busy daemons probe
+ * each other as often as they forward requests. */
 export const PROBES_PER_S = 20;
+
+/** Probes that one daemon sends at once: a data centre may be cut off. */
 export const PROBE_BURST = 80;
 
 /** A forwarded request that has no answer yet. */
