Revert "Count the wait for accept in the age of a connection's first request"

It was meant to mend the GONE that the new lag meter had let through, on a cause read from the code.

--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -33,7 +33,6 @@
 } from '../internal.js';
 import type {DecisionLog} from './decision_log.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
-import {createUnreadTime, type UnreadTime} from './unread_time.js';
 
 /** State of one sidecar, shared by its parts. */
 export interface SidecarBoard {
@@ -78,7 +77,6 @@
   /** True once a stopping process refuses new requests. */
   closed: boolean;
   readonly lag: LoopLag;
-  readonly unread: UnreadTime;
   readonly log: DecisionLog;
   readonly counters: Map<string, number>;
   readonly metrics: Metrics;
@@ -100,7 +98,6 @@
 
 /** Creates the state of a sidecar before its first store update. */
 export function createSidecarBoard(deps: BoardDeps): SidecarBoard {
-  const lag = createLoopLag();
   return {
     ...deps,
     list: createUpstreamList(),
@@ -125,8 +122,7 @@
     overdueLogged: false,
     stopping: false,
     closed: false,
-    lag,
-    unread: createUnreadTime(lag, deps.now),
+    lag: createLoopLag(),
     counters: new Map(),
     metrics: createMetrics(),
   };
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -81,7 +81,7 @@
 ): Exchange {
   const {board} = state;
   // The time that a request waits unread counts towards its deadline.
-  const startedAt = board.now() - board.unread.read(req.socket);
+  const startedAt = board.now() - board.lag.read();
   const exchange: Exchange = {
     req,
     res,
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -28,14 +28,14 @@
 }
 
 /**
- * Reads a forwarded request; undefined when its metadata is malformed. `unreadMs`
+ * Reads a forwarded request; undefined when its metadata is malformed. `lagMs`
  * is the time that it may have waited unread.
  */
 export function readForward(
   req: IncomingMessage,
   requestIdHeader: string,
   body: Buffer | undefined,
-  unreadMs: number,
+  lagMs: number,
 ): ForwardRequest | undefined {
   const terms = readHeader(req.headers, HEADERS.terms)?.split(',');
   if (!terms || terms.length !== 6) return undefined;
@@ -57,8 +57,8 @@
     upstreamId,
     route,
     rank: numbers[0],
-    goalMs: numbers[1] - unreadMs,
-    remainingMs: numbers[2] - unreadMs,
+    goalMs: numbers[1] - lagMs,
+    remainingMs: numbers[2] - lagMs,
     fingerprint,
   };
 }
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -41,11 +41,11 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
-  const unreadMs = board.unread.read(req.socket);
+  const lagMs = board.lag.read();
   board.peerHeardAt = board.now();
   const body = await readOptionalBody(req, Number.MAX_SAFE_INTEGER);
   if (res.destroyed) return;
-  const request = readForward(req, board.names.requestId, body, unreadMs);
+  const request = readForward(req, board.names.requestId, body, lagMs);
   if (!request) {
     count(board, 'inbound_malformed');
     res.destroy();
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -35,7 +35,6 @@
     connectionsCheckingInterval: HEADER_CHECK_MS,
     requestTimeout: 0,
   });
-  server.on('connection', board.unread.recordAccept);
   server.on('request', entry);
   server.on('clientError', (err: Error, socket: Duplex) => {
     count(board, 'entry_bad_http');
@@ -46,18 +45,13 @@
 }
 
 /** Creates the server for other daemons. */
-export function createPeerServer(
-  {unread}: SidecarBoard,
-  handle: RequestListener,
-): Server {
+export function createPeerServer(handle: RequestListener): Server {
   const options = {
     maxHeaderSize: MAX_HEADER_BYTES,
     keepAliveTimeout: PEER_KEEP_ALIVE_MS,
     requestTimeout: 0,
   };
-  const server = createServer(options, handle);
-  server.on('connection', unread.recordAccept);
-  return server;
+  return createServer(options, handle);
 }
 
 /** Creates the control server, at which daemons that know no peers yet request
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -116,7 +116,7 @@
   );
   const entry = createSidecarEntry(board, owner);
   const customerServer = createCustomerServer(board, entry);
-  const peerServer = createPeerServer(board, createPeerHandler(board, owner));
+  const peerServer = createPeerServer(createPeerHandler(board, owner));
   const controlServer = createControlServer(board, (req, res) =>
     serveControl(board, owner, req, res),
   );
