Revert "Count only the last two iterations of the event loop as lag"

Requests wait unread, and in sockets of their own, for longer than two iterations at a busy daemon; the upper bound that counts all work since the last idle time had covered that.

--- a/__tests__/loop_lag.test.ts
+++ b/__tests__/loop_lag.test.ts
@@ -3,12 +3,10 @@
 
 function createHarness() {
   const times = {now: 0, idle: 0};
-  let endIteration = () => {};
-  const lag = createLoopLag({
-    readNow: () => times.now,
-    readIdle: () => times.idle,
-    onIterationEnd: callback => (endIteration = callback),
-  });
+  const lag = createLoopLag(
+    () => times.now,
+    () => times.idle,
+  );
   return {
     idle: (ms: number) => {
       times.now += ms;
@@ -18,7 +16,6 @@
       times.now += ms;
     },
     read: () => lag.read(),
-    endIteration: () => endIteration(),
   };
 }
 
@@ -40,28 +37,3 @@
   harness.work(30);
   t.is(harness.read(), 0);
 });
-
-// Daemons that were busy without a pause for seconds refused all requests as
-// too late while their upstreams were idle, although they read their input in
-// time.
-test('work counts as lag for the last two iterations only', t => {
-  const harness = createHarness();
-  for (let i = 0; i < 50; i++) {
-    harness.work(60);
-    t.true(harness.read() <= 120);
-    harness.endIteration();
-  }
-  harness.work(300);
-  t.is(harness.read(), 360);
-  harness.endIteration();
-});
-
-test('work before an idle time does not count as lag', t => {
-  const harness = createHarness();
-  harness.work(300);
-  t.is(harness.read(), 300);
-  harness.endIteration();
-  harness.idle(5);
-  harness.work(50);
-  t.is(harness.read(), 50);
-});
--- a/src/utils/loop_lag.ts
+++ b/src/utils/loop_lag.ts
@@ -18,52 +18,27 @@
   read(): number;
 }
 
-/** Sources of the lag meter; tests replace them. */
-export interface LoopLagDeps {
-  /** Monotonic time, ms. */
-  readonly readNow: () => number;
-  /** Total idle time of the event loop, ms. */
-  readonly readIdle: () => number;
-  /** Calls back when the current iteration of the event loop has read and
-   * handled its input. */
-  readonly onIterationEnd: (callback: () => void) => void;
-}
-
-const RUNTIME_DEPS: LoopLagDeps = {
-  readNow: () => performance.now(),
-  readIdle: () => performance.eventLoopUtilization().idle,
-  onIterationEnd: setImmediate,
-};
-
 /**
- * Creates the lag meter of a process. While the loop is busy, input waits in
- * the socket buffer and its deadline keeps running. Each iteration reads all
- * input that has arrived, so input handled now arrived after the previous
- * iteration had read its own, and after the last idle time.
+ * Creates the lag meter of a process from its monotonic time and the idle time
+ * of its event loop, ms. While the loop is busy, input waits in the socket
+ * buffer and its deadline keeps running.
  */
-export function createLoopLag(deps = RUNTIME_DEPS): LoopLag {
-  const {readNow, readIdle, onIterationEnd} = deps;
-  const readTimes = () => ({at: readNow(), idle: readIdle()});
-  let arrivedAfter = readTimes();
-  let lastRead = arrivedAfter;
-  let iterationEnd = arrivedAfter;
-  let awaitsEnd = false;
-  const recordIterationEnd = (): void => {
-    awaitsEnd = false;
-    if (iterationEnd.at > arrivedAfter.at) arrivedAfter = iterationEnd;
-    iterationEnd = readTimes();
-  };
+export function createLoopLag(
+  readNow = () => performance.now(),
+  readIdle = () => performance.eventLoopUtilization().idle,
+): LoopLag {
+  let lastAt = readNow();
+  let lastIdle = readIdle();
+  let busyMs = 0;
   return {
     read() {
-      const times = readTimes();
-      if (times.idle - lastRead.idle > IDLE_MS) arrivedAfter = lastRead;
-      lastRead = times;
-      if (!awaitsEnd) {
-        awaitsEnd = true;
-        onIterationEnd(recordIterationEnd);
-      }
-      const idleMs = times.idle - arrivedAfter.idle;
-      const busyMs = times.at - arrivedAfter.at - idleMs;
+      const now = readNow();
+      const idle = readIdle();
+      const idleMs = idle - lastIdle;
+      const activeMs = Math.max(0, now - lastAt - idleMs);
+      busyMs = idleMs > IDLE_MS ? activeMs : busyMs + activeMs;
+      lastAt = now;
+      lastIdle = idle;
       return busyMs < MIN_LAG_MS ? 0 : busyMs;
     },
   };
