Do not count refusals of cold upstreams towards the end of a request

Found while reading the change: a request ended after two refusals for lack of room, and cold ones counted too. Upstreams of the own data centre are asked first, so when these are cold after an outage, a request was refused although one of another data centre had room. Only refusals for lack of slots count now.

Test: sidecar.test.ts, "refusals of cold upstreams do not end a request" (503 before).

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -1,6 +1,11 @@
 import type {Socket} from 'node:net';
 import test from 'ava';
-import {isCold, recordTargetSend, rankReaders} from '../src/internal.js';
+import {
+  isCold,
+  recordTargetSend,
+  rankReaders,
+  setCold,
+} from '../src/internal.js';
 import {isLeaving} from '../src/sidecar/announcements.js';
 import {answerOk, startHarness, until} from './support/sidecar_harness.js';
 
@@ -489,6 +494,22 @@
   );
 });
 
+// Cold upstreams of the own data centre are asked first. Two of them ended a
+// request for which another upstream had room.
+test.serial('refusals of cold upstreams do not end a request', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1', 'dc1', 'dc1']);
+  const [entry, ...others] = harness.sidecars;
+  const cold = [entry, ...others.slice(0, 2)].map(({board}) => board);
+  for (const {limiter, now} of cold) {
+    setCold(limiter, 60_000, now());
+    limiter.coldRate.perS = 0.01;
+  }
+  for (let i = 0; i < 50; i++) recordTargetSend(entry.board.balance, 'u3');
+  t.is((await harness.send(0)).status, 200);
+  t.is(harness.upstreams[3].runs.length, 1);
+  for (const {counters} of cold) t.is(counters.get('owner_refused_cold'), 1);
+});
+
 // Upstreams that stated a limit in their answers got far more requests.
 test.serial('requests above the limit of an upstream go elsewhere', async t => {
   const harness = await startHarness(t, ['dc1', 'dc1']);
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -55,7 +55,7 @@
   attempts: number;
   /** All attempts to forward, including refused ones. */
   forwards: number;
-  /** Refusals for lack of room so far. */
+  /** Refusals for lack of slots so far. */
   fullRefusals: number;
   /** Outcome to report if no further attempt succeeds. */
   outcome?: Outcome;
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -22,8 +22,9 @@
 import {awaitPeerReply} from './peer_probe.js';
 
 /**
- * Refusals for lack of room after which a request is refused: the upstreams
- * with the least load were asked, so the others are probably full too.
+ * Refusals for lack of slots after which a request is refused: the upstreams
+ * with the least load were asked, so the others are probably full too. Cold
+ * upstreams do not count, since those of other data centres may have room.
  */
 const MAX_FULL_REFUSALS = 2;
 
@@ -216,7 +217,7 @@
     const {balance, now} = board;
     excludeTarget(balance, upstream.id, STALE_EXCLUSION_MS, now());
   } else if (outcome === 'full' || outcome === 'cold') {
-    exchange.fullRefusals++;
+    if (outcome === 'full') exchange.fullRefusals++;
     const rank = exchange.route?.rank ?? 0;
     markTargetFull(board.balance, upstream.id, rank, retryAfterMs, board.now());
   } else if (outcome === 'upstreamDown') {
