Ignore a malformed limit of an upstream

Found while reading the change: an empty `Server-Limit` was read as 0 and slowed the upstream to a request in five seconds; `Infinity` made the token count not a number. Only a plain decimal number counts now.

Test: sidecar.test.ts, "a malformed limit of an upstream is ignored".

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -510,6 +510,20 @@
   for (const {counters} of cold) t.is(counters.get('owner_refused_cold'), 1);
 });
 
+test.serial('a malformed limit of an upstream is ignored', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [upstream] = harness.upstreams;
+  for (const limit of ['', 'Infinity', '-1', '1e3', 'none']) {
+    upstream.handle = (req, res) => {
+      res.setHeader('server-limit', limit);
+      answerOk(req, res);
+    };
+    t.is((await harness.send(0)).status, 200);
+    t.is(board.limiter.statedPerS, undefined, limit);
+  }
+});
+
 // Upstreams that stated a limit in their answers got far more requests.
 test.serial('requests above the limit of an upstream go elsewhere', async t => {
   const harness = await startHarness(t, ['dc1', 'dc1']);
--- a/src/sidecar/announcements.ts
+++ b/src/sidecar/announcements.ts
@@ -25,6 +25,18 @@
   log.write('always', 'upstreamAnnouncedLeaving', {upstream: id});
 }
 
+/** A limit as upstreams write it, requests per second. */
+const LIMIT_PATTERN = /^\d{1,9}(\.\d+)?$/;
+
+/** Reads the limit that an answer states; undefined if none or malformed. */
+function readLimit(
+  {names}: SidecarBoard,
+  {headers}: HttpAnswer,
+): number | undefined {
+  const text = readHeader(headers, names.requestLimit) ?? '';
+  return LIMIT_PATTERN.test(text) ? Number(text) : undefined;
+}
+
 /** Applies what an answer of the local upstream says about itself: a limit on its
  * requests, and that it is about to stop. */
 export function applyAnnouncements(
@@ -32,10 +44,8 @@
   {upstreamId}: ForwardRequest,
   answer: HttpAnswer,
 ): void {
-  const {names, limiter, log} = board;
-  const value = readHeader(answer.headers, names.requestLimit);
-  const stated = Number(value ?? NaN);
-  const limitPerS = stated >= 0 ? stated : undefined;
+  const {limiter, log} = board;
+  const limitPerS = readLimit(board, answer);
   if (limitPerS !== limiter.statedPerS) {
     setStatedRate(limiter, limitPerS, board.now());
     log.write('notable', 'upstreamLimit', {upstream: upstreamId, limitPerS});
