Keep heartbeats without news at the readers of the store

Callers saw nothing of it, but each heartbeat of each listed upstream (131 a second at 196 upstreams) reached each daemon, which decoded it and rebuilt its list for each entry. Readers called the store after each heartbeat, up to five times a second.

A mirror now has two revisions: that of its last read, and that of the last change that says something. Followers are answered for the second only. The indexes of the list are built once after an update. After a watch that ended early a reader pauses 500 ms and then waits at most 200 ms, so a copy is as old at most as before.

Ruled out: fewer readers (a data centre with one reader depends on one link).

--- a/__tests__/balance.test.ts
+++ b/__tests__/balance.test.ts
@@ -12,6 +12,7 @@
   recordTargetEnd,
   recordTargetSend,
   parseReport,
+  listService,
   putUpstream,
   type BalanceState,
   type LoadReport,
@@ -43,7 +44,7 @@
       heavy: false,
       ...fields,
     };
-    const upstreams = list.byService.get('s') ?? [];
+    const upstreams = listService(list, 's');
     return chooseTarget(state, upstreams, context, random, now)?.id;
   };
   return {list, state, choose};
--- a/__tests__/peer_state.test.ts
+++ b/__tests__/peer_state.test.ts
@@ -43,7 +43,7 @@
 // of each poll fired before the answer in the socket buffer was read.
 test.serial('a peer answer that arrived while busy is not lost', async t => {
   const address = await listen(t, (_req, res) => {
-    res.writeHead(204, {[HEADERS.ageMs]: '7'}).end();
+    res.writeHead(204, {[HEADERS.ageMs]: '7', [HEADERS.revision]: '9'}).end();
     keepBusy();
   });
   const client = createStateClient();
@@ -56,7 +56,7 @@
   const peers = createStorePeers(board, client);
   const update = await peers.ask(address, 1, WAIT_MS);
   const {ageMs = 0, ...rest} = typeof update === 'object' ? update : {};
-  t.deepEqual(rest, {state: undefined});
+  t.deepEqual(rest, {state: undefined, revision: 9});
   // The copy is as old as the answer says, and older by the wait.
   t.true(ageMs >= 7 + BUSY_MS);
 });
--- a/__tests__/platform_decode.test.ts
+++ b/__tests__/platform_decode.test.ts
@@ -2,7 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import test from 'ava';
-import {decodeEntry, parseDuration} from '../platform/decode.js';
+import {decodeEntry, isUnchanged, parseDuration} from '../platform/decode.js';
 import {decodeSettings, describeSettings} from '../platform/settings.js';
 
 const entry = {
@@ -108,6 +108,26 @@
   t.is(decodeEntry('op/config', encode({}))?.kind, 'unreadable');
 });
 
+test('a heartbeat changes an entry only if it says something new', t => {
+  const {status, info} = entry;
+  const warm = {...status, cold_left: '0ms'};
+  const before = encode({...entry, status: warm});
+  const after = (change: object) => encode({...entry, status: warm, ...change});
+  const check = (value: Buffer) => isUnchanged('servers/i-1', before, value);
+  t.true(check(after({status: {...warm, sequence: 99}})));
+  t.false(check(after({status: {...warm, sequence: 99, state: 'draining'}})));
+  t.false(check(after({status: {...warm, cold_left: '1ms'}})));
+  t.false(check(after({info: {...info, slots: 9}})));
+  t.false(check(after({born: 7})));
+  t.false(check(Buffer.from('x')));
+  // The time that an upstream stays cold counts from each heartbeat.
+  const cold = encode(entry);
+  t.false(isUnchanged('servers/i-1', cold, cold));
+  // Other keys have no heartbeats.
+  t.false(isUnchanged('op/config', before, after({sequence: 1})));
+  t.true(isUnchanged('op/config', before, Buffer.from(before)));
+});
+
 const settings = {
   self: {
     node: 'sidecar-a-1',
--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -16,6 +16,7 @@
   type StoreFollower,
   type StoreMirror,
 } from '../src/internal.js';
+import {isUnchanged} from '../platform/decode.js';
 import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
 
 /** One daemon that follows the store, with switches for its faults. */
@@ -24,6 +25,8 @@
   readonly mirror: StoreMirror;
   readonly known: Map<string, string>;
   readonly events: string[];
+  /** Number of changes that it has handled. */
+  readonly changeCount: () => number;
   follow: StoreFollower;
   /** While set, the daemon does not answer, as after a power loss. */
   silent: boolean;
@@ -62,12 +65,16 @@
     }
     if (!daemon || daemon.silent) return undefined;
     const ageMs = daemon.follow.readAge();
-    return {ageMs, state: readMirror(daemon.mirror, after)};
+    const state = readMirror(daemon.mirror, after);
+    return {ageMs, state, revision: state ? undefined : daemon.mirror.revision};
   };
   for (const name of names) {
     const known = new Map<string, string>();
     const events: string[] = [];
-    const mirror = createMirror('k/');
+    let changeCount = 0;
+    const mirror = createMirror('k/', (key, before, after) =>
+      isUnchanged(key.slice(2), before, after),
+    );
     const failWhenCut = async (endAt: number) => {
       if (!daemon.cut) return;
       await wait(endAt - performance.now());
@@ -78,6 +85,7 @@
       mirror,
       known,
       events,
+      changeCount: () => changeCount,
       silent: false,
       lagMs: 0,
       cut,
@@ -107,6 +115,7 @@
         ask,
       },
       onChanges: (changes: KeyChange[]) => {
+        changeCount += changes.length;
         for (const {key, value} of changes) {
           if (value === undefined) known.delete(key);
           else known.set(key, value.toString());
@@ -195,6 +204,55 @@
   t.true(store.calls - before <= 40, `${store.calls - before} calls`);
 });
 
+/** A heartbeat of a listed upstream. */
+function formatBeat(sequence: number, state = 'ready'): string {
+  return JSON.stringify({status: {state, sequence, cold_left: '0ms'}});
+}
+
+// In a fleet of hundreds there is always a heartbeat. Each one ended the watch
+// of each reader, which then called the store five times a second.
+test.serial('heartbeats do not raise the rate of store calls', async t => {
+  const {clock, store, start} = createHarness(t, 1);
+  const [{known}] = start();
+  await clock.tickAsync(1_000);
+  const before = store.calls;
+  for (let i = 0; i < 200; i++) {
+    store.put(`k/servers/${i % 40}`, formatBeat(i));
+    await clock.tickAsync(50);
+  }
+  t.true(store.calls - before <= 25, `${store.calls - before} calls in 10 s`);
+  t.is(known.size, 40);
+});
+
+// Each heartbeat of each upstream reached each daemon, which parsed it and
+// rebuilt its list: at 196 daemons a third of their processor time.
+test.serial('heartbeats without news stay with the readers', async t => {
+  const {clock, store, ranked, start} = createHarness(t, 6);
+  const daemons = start();
+  for (let i = 0; i < 10; i++) store.put(`k/servers/${i}`, formatBeat(0));
+  await clock.tickAsync(2_000);
+  const changes = daemons.map(({changeCount}) => changeCount());
+  for (let i = 1; i <= 40; i++) {
+    store.put(`k/servers/${i % 10}`, formatBeat(i));
+    await clock.tickAsync(100);
+  }
+  t.deepEqual(
+    daemons.map(({changeCount}) => changeCount()),
+    changes,
+  );
+  for (const {name, follow, mirror} of daemons) {
+    t.true(follow.readAge() <= FRESH_MS, name);
+    if (name === ranked[0]) continue;
+    // Otherwise a later reader would find its history removed.
+    t.true(mirror.revision !== undefined && mirror.revision > 40, name);
+  }
+  store.put('k/servers/3', formatBeat(99, 'draining'));
+  await clock.tickAsync(FRESH_MS);
+  for (const {known, name} of daemons) {
+    t.true(known.get('k/servers/3')?.includes('draining'), name);
+  }
+});
+
 for (const fault of ['silent', 'cut'] as const) {
   // A configuration must be in force 2 s after it was accepted, also when the
   // reader has just lost its power or its connection to the store.
@@ -288,15 +346,10 @@
   const createItem = (key: string, revision: number) => {
     return {key, value: Buffer.from(String(revision)), revision};
   };
-  peer.revision = 20;
-  for (const entry of [createItem('k/a', 5), createItem('k/b', 20)]) {
-    peer.items.set(entry.key, entry);
-  }
-  mirror.revision = 10;
-  for (const entry of [createItem('k/a', 5), createItem('k/gone', 8)]) {
-    mirror.items.set(entry.key, entry);
-    known.set(entry.key, String(entry.revision));
-  }
+  applyFullRead(peer, [createItem('k/a', 5), createItem('k/b', 20)], 20);
+  const items = [createItem('k/a', 5), createItem('k/gone', 8)];
+  applyFullRead(mirror, items, 10);
+  for (const {key, revision} of items) known.set(key, String(revision));
   const state = readMirror(peer, 10);
   t.deepEqual(
     state?.items.map(entry => entry.key),
@@ -309,7 +362,8 @@
   }
   t.deepEqual(Object.fromEntries(known), {'k/a': '5', 'k/b': '20'});
   t.is(readMirror(peer, 20), undefined);
-  peer.revision = 15;
-  const older = readMirror(peer, -1);
+  const behind = createMirror('k/');
+  applyFullRead(behind, [createItem('k/a', 5)], 15);
+  const older = readMirror(behind, -1);
   t.deepEqual(older && applyMirrorState(mirror, older), []);
 });
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -4,6 +4,7 @@
 import type {Random} from '../utils/random.js';
 import {
   applyMirrorState,
+  confirmRevision,
   type KeyChange,
   type MirrorState,
 } from './store_mirror.js';
@@ -36,8 +37,15 @@
  */
 export const POLL_MS = WATCH_MS + 100;
 
-/** Pause after a watch that returned changes, ms: batches further changes. */
-export const COALESCE_MS = 200;
+/**
+ * Pause after a watch that ended early, ms: batches further changes. In a large
+ * fleet there is always a heartbeat, so it sets the rate of calls.
+ */
+export const COALESCE_MS = 500;
+
+/** Longest wait of a watch after such a pause, ms: pause and wait together make
+ * the copy no older than one long watch does. */
+const WATCH_AFTER_PAUSE_MS = WATCH_MS - COALESCE_MS;
 
 /**
  * Backoff after a failed call to the store, ms; it grows, because every call is
@@ -67,6 +75,8 @@
   readonly ageMs: number;
   /** Undefined when it has nothing newer. */
   readonly state: MirrorState | undefined;
+  /** Revision of its copy, if it has nothing newer and says so. */
+  readonly revision?: number;
 }
 
 /** Other daemons that may know the state of the store. */
@@ -129,6 +139,8 @@
   stale: boolean;
   confirmedAt: number;
   answeredAt: number;
+  /** True after a pause, which shortens the next watch. */
+  paused: boolean;
   source: string;
   readonly avoided: Map<string, Avoided>;
 }
@@ -162,6 +174,7 @@
     stale: false,
     confirmedAt: -Infinity,
     answeredAt: -Infinity,
+    paused: false,
     source: '',
     avoided: new Map(),
   };
@@ -179,7 +192,7 @@
   while (!state.stopped) {
     const source = chooseSource(state);
     setSource(state, source);
-    if (source === state.deps.peers.own) await readStore(state, WATCH_MS);
+    if (source === state.deps.peers.own) await watchStore(state);
     else if (source !== undefined) await followPeer(state, source);
     else await askPeer(state);
   }
@@ -215,8 +228,25 @@
   deps.onRegained();
 }
 
-/** Reads all keys, or waits for changes when they have been read before. */
-async function readStore(state: FollowerState, waitMs: number): Promise<void> {
+/** Reads the store as a reader does; pauses when a watch has ended early. */
+async function watchStore(state: FollowerState): Promise<void> {
+  const {deps, needsFullRead, paused} = state;
+  const waitMs = paused ? WATCH_AFTER_PAUSE_MS : WATCH_MS;
+  const startedAt = deps.now();
+  state.paused = false;
+  const ok = await readStore(state, waitMs);
+  const early = deps.now() - startedAt < waitMs;
+  if (!ok || needsFullRead || !early) return;
+  state.paused = true;
+  await pause(COALESCE_MS);
+}
+
+/** Reads all keys, or waits for changes when they have been read before;
+ * returns true on success. */
+async function readStore(
+  state: FollowerState,
+  waitMs: number,
+): Promise<boolean> {
   const {deps} = state;
   const {own} = deps.peers;
   const peerFallback = setTimeout(
@@ -227,19 +257,19 @@
     const result = await (state.needsFullRead
       ? readAllKeys(deps)
       : watchChanges(deps, waitMs));
-    if (state.stopped) return;
+    if (state.stopped) return false;
     state.avoided.delete(own);
     state.answeredAt = deps.now();
     if (state.faulty) deps.onRecovered();
     state.faulty = false;
     state.needsFullRead = result === 'compacted';
-    if (result === 'compacted') return;
+    if (result === 'compacted') return false;
     const {changes, ageMs} = result;
     markFresh(state, ageMs + deps.readLag());
     deps.onChanges(changes);
-    if (changes.length > 0 && waitMs > 0) await pause(COALESCE_MS);
+    return true;
   } catch (err) {
-    if (state.stopped) return;
+    if (state.stopped) return false;
     avoid(state, own, STORE_RETRY_MS);
     // The history may hold many versions of a large value by now; a full read
     // returns only the latest one.
@@ -247,6 +277,7 @@
     state.stale = true;
     deps.onFault(err as Error, !state.faulty);
     state.faulty = true;
+    return false;
   } finally {
     clearTimeout(peerFallback);
   }
@@ -281,13 +312,14 @@
   address: string,
 ): Promise<void> {
   const {peers} = state.deps;
-  const update = await peers.ask(address, getAskedRevision(state), POLL_MS);
+  const after = getAskedRevision(state);
+  const update = await peers.ask(address, after, POLL_MS);
   if (state.stopped) return;
   if (update === 'declined') {
     avoid(state, address, AVOID_MS);
     return;
   }
-  if (update && applyPeerUpdate(state, update)) {
+  if (update && applyPeerUpdate(state, update, after)) {
     state.avoided.delete(address);
     return;
   }
@@ -299,12 +331,17 @@
 /** Applies the update of another daemon; returns true when it is fresh. */
 function applyPeerUpdate(
   state: FollowerState,
-  {ageMs, state: peerState}: PeerUpdate,
+  {ageMs, state: peerState, revision}: PeerUpdate,
+  askedRevision: number,
 ): boolean {
   const {deps} = state;
+  const {mirror} = deps;
   state.answeredAt = deps.now();
   const fresh = ageMs <= FRESH_MS;
-  const changes = peerState && applyMirrorState(deps.mirror, peerState);
+  const changes = peerState && applyMirrorState(mirror, peerState);
+  if (revision !== undefined && askedRevision === mirror.revision) {
+    confirmRevision(mirror, revision);
+  }
   state.needsAllItems = peerState !== undefined && changes === undefined;
   if (state.needsAllItems) return fresh;
   if (fresh) markFresh(state, ageMs);
@@ -322,12 +359,11 @@
 async function askPeer(state: FollowerState): Promise<void> {
   const {peers} = state.deps;
   const address = peers.pickAny();
+  const after = getAskedRevision(state);
   const update =
-    address === undefined
-      ? undefined
-      : await peers.ask(address, getAskedRevision(state), 0);
+    address === undefined ? undefined : await peers.ask(address, after, 0);
   if (state.stopped) return;
-  if (update && update !== 'declined') applyPeerUpdate(state, update);
+  if (update && update !== 'declined') applyPeerUpdate(state, update, after);
   await pause(NO_SOURCE_PAUSE_MS);
 }
 
--- a/src/core/store_mirror.ts
+++ b/src/core/store_mirror.ts
@@ -22,11 +22,26 @@
 /** Earlier values kept of each large key, as bases of deltas. */
 const MAX_BASES = 4;
 
+/** True when a value of a key says the same as the one before, for example
+ * because only the counter of its heartbeats has changed. */
+export type IsUnchanged = (
+  key: string,
+  before: Buffer,
+  after: Buffer,
+) => boolean;
+
 /** Copy of the keys with one prefix, as of one revision of the store. */
 export interface StoreMirror {
   readonly prefix: string;
+  readonly isUnchanged: IsUnchanged;
   /** Undefined until all keys have been read. */
   revision: number | undefined;
+  /**
+   * Revision of the latest change that other daemons need; -1 before the first
+   * read. Heartbeats raise `revision` alone: sending each of them to each
+   * daemon would cost the square of the fleet's size.
+   */
+  contentRevision: number;
   readonly items: Map<string, StoreItem>;
   /** Earlier items of keys with large values, oldest first. */
   readonly bases: Map<string, StoreItem[]>;
@@ -39,8 +54,18 @@
 }
 
 /** Creates an empty copy. */
-export function createMirror(prefix: string): StoreMirror {
-  return {prefix, revision: undefined, items: new Map(), bases: new Map()};
+export function createMirror(
+  prefix: string,
+  isUnchanged: IsUnchanged = (_key, before, after) => before.equals(after),
+): StoreMirror {
+  return {
+    prefix,
+    isUnchanged,
+    revision: undefined,
+    contentRevision: -1,
+    items: new Map(),
+    bases: new Map(),
+  };
 }
 
 /** Applies the changes up to a revision; only the last one of a key counts. */
@@ -49,15 +74,30 @@
   events: readonly StoreEvent[],
   revision: number,
 ): KeyChange[] {
-  mirror.revision = Math.max(mirror.revision ?? 0, revision);
   const latest = new Map(events.map(event => [event.key, event]));
-  return [...latest.values()].flatMap(event => applyEvent(mirror, event));
+  const changes = [...latest.values()].flatMap(event =>
+    applyEvent(mirror, event),
+  );
+  advance(mirror, revision, changes.length > 0);
+  return changes;
+}
+
+/** Records that the copy is as of a later revision. */
+function advance(
+  mirror: StoreMirror,
+  revision: number,
+  changed: boolean,
+): void {
+  const isFirst = mirror.revision === undefined;
+  mirror.revision = Math.max(mirror.revision ?? 0, revision);
+  if (isFirst || changed) mirror.contentRevision = mirror.revision;
 }
 
 function applyEvent(mirror: StoreMirror, event: StoreEvent): KeyChange[] {
   const {key, value, revision} = event;
   const known = mirror.items.get(key);
   if (known && known.revision >= revision) return [];
+  if (known && value && mirror.isUnchanged(key, known.value, value)) return [];
   if (value === undefined) deleteItem(mirror, key);
   else mirror.items.set(key, {key, value, revision});
   if (known && value) keepBase(mirror, known);
@@ -84,15 +124,17 @@
   // Another daemon may have sent a newer state during the read.
   if (revision < (mirror.revision ?? 0)) return [];
   const present = new Set(items.map(item => item.key));
-  const changes = dropMissing(mirror, present);
+  const changes = dropMissing(mirror, present, revision);
   return [...changes, ...applyEvents(mirror, items, revision)];
 }
 
 function dropMissing(
   mirror: StoreMirror,
   present: ReadonlySet<string>,
+  revision: number,
 ): KeyChange[] {
   const missing = [...mirror.items.keys()].filter(key => !present.has(key));
+  if (missing.length > 0) advance(mirror, revision, true);
   for (const key of missing) deleteItem(mirror, key);
   return missing.map(key => ({key, value: undefined}));
 }
@@ -128,8 +170,8 @@
   mirror: StoreMirror,
   after: number,
 ): MirrorState | undefined {
-  const {prefix, revision, items} = mirror;
-  if (revision === undefined || revision <= after) return undefined;
+  const {prefix, revision, contentRevision, items} = mirror;
+  if (revision === undefined || contentRevision <= after) return undefined;
   const changed = [...items.values()].filter(item => item.revision > after);
   return {
     prefix,
@@ -150,6 +192,12 @@
   return {key, revision, parts, base: base.revision};
 }
 
+/** Records that another daemon knows of no change between the revision of this
+ * copy and a later one. */
+export function confirmRevision(mirror: StoreMirror, revision: number): void {
+  advance(mirror, revision, false);
+}
+
 /**
  * Applies the state of another daemon; ignores it when it is not newer. Returns
  * undefined, and changes nothing, when a delta has another base than the known
@@ -167,6 +215,6 @@
     const value = applyDelta(known?.value ?? Buffer.alloc(0), parts);
     items.push({key, revision, value});
   }
-  const changes = dropMissing(mirror, new Set(state.keys));
+  const changes = dropMissing(mirror, new Set(state.keys), state.revision);
   return [...changes, ...applyEvents(mirror, items, state.revision)];
 }
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -15,12 +15,18 @@
   expiresAt?: number;
 }
 
+interface ListIndex {
+  readonly byService: ReadonlyMap<string, readonly ListedUpstream[]>;
+  /** Most recently started upstream at each address (host:port). */
+  readonly byAddress: ReadonlyMap<string, ListedUpstream>;
+  readonly hosts: readonly string[];
+}
+
 /** Known upstreams, and the data centres that are taken out. */
 export interface UpstreamList {
   readonly byId: Map<string, ListedUpstream>;
-  byService: ReadonlyMap<string, readonly ListedUpstream[]>;
-  /** Most recently started upstream at each address (host:port). */
-  byAddress: ReadonlyMap<string, ListedUpstream>;
+  /** Look-up maps; undefined after a change until they are needed. */
+  index?: ListIndex;
   readonly takenOut: Set<string>;
   /** True once the full list has been read. */
   complete: boolean;
@@ -32,8 +38,6 @@
 export function createUpstreamList(): UpstreamList {
   return {
     byId: new Map(),
-    byService: new Map(),
-    byAddress: new Map(),
     takenOut: new Set(),
     complete: false,
     keepMissingUntil: -Infinity,
@@ -51,8 +55,7 @@
   if (known && record.startedAt < known.startedAt) return false;
   const coldUntil = now + record.coldMs;
   list.byId.set(record.id, {...record, coldUntil});
-  dropPredecessors(list, record);
-  indexList(list);
+  list.index = undefined;
   return (
     !known ||
     known.state !== record.state ||
@@ -61,16 +64,6 @@
   );
 }
 
-/** Removes earlier upstreams at the address, which serves one at a time. */
-function dropPredecessors(list: UpstreamList, record: MeshUpstream): void {
-  for (const other of list.byId.values()) {
-    if (other.id === record.id || other.startedAt >= record.startedAt) continue;
-    if (other.host === record.host && other.port === record.port) {
-      list.byId.delete(other.id);
-    }
-  }
-}
-
 /**
  * Removes a deleted entry, or keeps it for the grace period after an outage.
  * Returns true when it was removed.
@@ -87,7 +80,7 @@
     return false;
   }
   list.byId.delete(id);
-  indexList(list);
+  list.index = undefined;
   return true;
 }
 
@@ -106,30 +99,52 @@
     if (expiresAt !== undefined && now >= expiresAt) expired.push(id);
   }
   for (const id of expired) list.byId.delete(id);
-  if (expired.length > 0) indexList(list);
+  if (expired.length > 0) list.index = undefined;
   return expired;
 }
 
-function indexList(list: UpstreamList): void {
-  const byService = new Map<string, ListedUpstream[]>();
+/** Returns the look-up maps. Many entries change in one update, so the maps are
+ * rebuilt once after it and not with each entry. */
+function getIndex(list: UpstreamList): ListIndex {
+  list.index ??= createIndex(list);
+  return list.index;
+}
+
+function createIndex({byId}: UpstreamList): ListIndex {
   const byAddress = new Map<string, ListedUpstream>();
-  for (const upstream of list.byId.values()) {
-    const group = byService.get(upstream.service);
-    if (group) group.push(upstream);
-    else byService.set(upstream.service, [upstream]);
-    const address = `${upstream.host}:${upstream.port}`;
+  for (const upstream of byId.values()) {
+    const address = formatAddress(upstream);
     const other = byAddress.get(address);
     if (!other || upstream.startedAt > other.startedAt) {
       byAddress.set(address, upstream);
     }
   }
-  list.byService = byService;
-  list.byAddress = byAddress;
+  // An address serves one upstream at a time: earlier ones have ended.
+  const byService = new Map<string, ListedUpstream[]>();
+  for (const upstream of byAddress.values()) {
+    const group = byService.get(upstream.service);
+    if (group) group.push(upstream);
+    else byService.set(upstream.service, [upstream]);
+  }
+  const hosts = new Set([...byId.values()].map(({host}) => host));
+  return {byService, byAddress, hosts: [...hosts]};
+}
+
+function formatAddress({host, port}: {host: string; port: number}): string {
+  return `${host}:${port}`;
+}
+
+/** Lists the upstreams of a service. */
+export function listService(
+  list: UpstreamList,
+  service: string,
+): readonly ListedUpstream[] {
+  return getIndex(list).byService.get(service) ?? [];
 }
 
 /** Lists the hosts of all upstreams; each runs a daemon. */
-export function listHosts({byId}: UpstreamList): string[] {
-  return [...new Set([...byId.values()].map(({host}) => host))];
+export function listHosts(list: UpstreamList): readonly string[] {
+  return getIndex(list).hosts;
 }
 
 /** Finds the most recently started upstream at an address. */
@@ -138,5 +153,5 @@
   host: string,
   port: number,
 ): ListedUpstream | undefined {
-  return list.byAddress.get(`${host}:${port}`);
+  return getIndex(list).byAddress.get(formatAddress({host, port}));
 }
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -13,6 +13,7 @@
   type ConcurrencyLimiter,
   type CopyStatus,
   type HeaderNames,
+  type IsUnchanged,
   type LinkPacer,
   type ListedUpstream,
   type LoopLag,
@@ -34,6 +35,14 @@
 import type {DecisionLog} from './decision_log.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
 
+/** A long poll of a peer that waits for a change. */
+export interface PendingPoll {
+  /** Monotonic arrival time, ms. */
+  readonly arrivedAt: number;
+  /** Answers the poll. */
+  finish(): void;
+}
+
 /** State of one sidecar, shared by its parts. */
 export interface SidecarBoard {
   settings: SidecarSettings;
@@ -50,8 +59,8 @@
   /** Packed states of one revision, by the revision that peers have. */
   readonly packedStates: {revision: number; byAfter: Map<number, Buffer>};
   readonly pollTurnaround: PollTurnaround;
-  /** Functions that answer the pending long polls of peers. */
-  readonly pendingPolls: Set<() => void>;
+  /** Long polls of peers that wait for a change. */
+  readonly pendingPolls: Set<PendingPoll>;
   readonly balance: BalanceState;
   readonly contacts: PeerContacts;
   /** Limits the rate of liveness probes. */
@@ -91,6 +100,7 @@
   readonly names: HeaderNames;
   /** Prefix of the store's keys that the daemon follows. */
   readonly prefix: string;
+  readonly isUnchanged: IsUnchanged;
   readonly log: DecisionLog;
   readonly random: Random;
   readonly now: () => number;
@@ -101,7 +111,7 @@
   return {
     ...deps,
     list: createUpstreamList(),
-    mirror: createMirror(deps.prefix),
+    mirror: createMirror(deps.prefix, deps.isUnchanged),
     readMirrorAge: () => Infinity,
     readSourceSilence: () => Infinity,
     packedStates: {revision: -1, byAfter: new Map()},
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -1,5 +1,11 @@
 import {recordLatency} from '../daemon/metrics.js';
-import {OUTCOMES, type Outcome, count, formatReason} from '../internal.js';
+import {
+  OUTCOMES,
+  type Outcome,
+  count,
+  formatReason,
+  listService,
+} from '../internal.js';
 import type {SidecarBoard} from './board.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyAnswerHeaders} from './header_copy.js';
@@ -20,7 +26,7 @@
   const {errorAnswer, outcome} = exchange;
   if (errorAnswer) return finishAnswered(state, exchange, errorAnswer);
   const {board} = state;
-  const listed = board.list.byService.get(exchange.service) ?? [];
+  const listed = listService(board.list, exchange.service);
   const hasLive = listed.some(
     ({state, dataCentre}) =>
       state === 'live' && !board.list.takenOut.has(dataCentre),
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -6,6 +6,7 @@
   count,
   ejectTarget,
   excludeTarget,
+  listService,
   markTargetFull,
   recordTargetEnd,
   recordTargetSend,
@@ -53,7 +54,7 @@
 ): ListedUpstream | undefined {
   if (exchange.forwards >= MAX_FORWARDS) return undefined;
   if (exchange.fullRefusals >= MAX_FULL_REFUSALS) return undefined;
-  const listed = board.list.byService.get(exchange.service) ?? [];
+  const listed = listService(board.list, exchange.service);
   return chooseTarget(
     board.balance,
     listed.filter(upstream => !isLeaving(board, upstream)),
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -1,4 +1,8 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  ServerResponse,
+} from 'node:http';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {pack, unpack} from 'msgpackr';
 import type {Socket} from 'node:net';
@@ -19,7 +23,7 @@
   type StorePeers,
   type PeerUpdate,
 } from '../internal.js';
-import type {SidecarBoard} from './board.js';
+import type {PendingPoll, SidecarBoard} from './board.js';
 import {readHeader} from './header_copy.js';
 import {createHttpClient, type HttpClient} from './http_client.js';
 
@@ -41,6 +45,9 @@
 /** Packed states that are cached, one for each revision that peers have. */
 const MAX_PACKED_STATES = 8;
 
+/** Shortest time for which a poll is held while nothing changes, ms. */
+const MIN_HOLD_MS = POLL_MS / 2;
+
 /** Upper bound of the age in an answer, ms. */
 const MAX_AGE_MS = 3_600_000;
 
@@ -74,8 +81,7 @@
     res.writeHead(503, {'content-length': 0}).end();
     return;
   }
-  const revision = board.mirror.revision ?? -1;
-  if (revision > after || !(waitMs > 0)) {
+  if (board.mirror.contentRevision > after || !(waitMs > 0)) {
     answerState(board, after, res);
     return;
   }
@@ -83,15 +89,16 @@
   const arrivedAt = board.now();
   const finish = (): void => {
     clearTimeout(timer);
-    pendingPolls.delete(finish);
+    pendingPolls.delete(poll);
     const heldMs = board.now() - arrivedAt;
     if (!res.destroyed) answerState(board, after, res, heldMs);
   };
   const timer = setTimeout(finish, waitMs);
-  pendingPolls.add(finish);
+  const poll: PendingPoll = {arrivedAt, finish};
+  pendingPolls.add(poll);
   res.once('close', () => {
     clearTimeout(timer);
-    pendingPolls.delete(finish);
+    pendingPolls.delete(poll);
   });
 }
 
@@ -136,7 +143,8 @@
   };
   const body = packState(board, after);
   if (!body) {
-    res.writeHead(204, headers).end();
+    const revision = String(board.mirror.revision ?? -1);
+    res.writeHead(204, {...headers, [HEADERS.revision]: revision}).end();
     return;
   }
   res.writeHead(200, {...headers, 'content-length': body.length});
@@ -151,10 +159,10 @@
  */
 function packState(board: SidecarBoard, after: number): Buffer | undefined {
   const {mirror, packedStates} = board;
-  const {revision = -1} = mirror;
-  if (revision <= after) return undefined;
-  if (packedStates.revision !== revision) {
-    packedStates.revision = revision;
+  const {contentRevision} = mirror;
+  if (contentRevision <= after) return undefined;
+  if (packedStates.revision !== contentRevision) {
+    packedStates.revision = contentRevision;
     packedStates.byAfter.clear();
   }
   const cached = packedStates.byAfter.get(after);
@@ -172,7 +180,16 @@
 
 /** Answers all pending long polls. */
 export function answerPendingPolls({pendingPolls}: SidecarBoard): void {
-  for (const finish of [...pendingPolls]) finish();
+  for (const {finish} of [...pendingPolls]) finish();
+}
+
+/** Answers the long polls that have waited for a while; called when the copy was
+ * confirmed without a change, so that those who ask know a fresh one. */
+export function answerOldPolls({pendingPolls, now}: SidecarBoard): void {
+  const arrivedBefore = now() - MIN_HOLD_MS;
+  for (const {arrivedAt, finish} of [...pendingPolls]) {
+    if (arrivedAt <= arrivedBefore) finish();
+  }
 }
 
 /** Creates the access to the copies of the store at peers. */
@@ -245,11 +262,18 @@
   const transitMs = Math.max(0, board.now() - sentAt - heldMs);
   const ageMs = answeredAgeMs + transitMs;
   if (!Number.isFinite(ageMs)) return undefined;
-  if (status !== 200) return {ageMs, state: undefined};
+  if (status !== 200) {
+    return {ageMs, state: undefined, revision: readRevision(headers)};
+  }
   const state = decodeState(board, address, body);
   return state && {ageMs, state};
 }
 
+function readRevision(headers: IncomingHttpHeaders): number | undefined {
+  const revision = Number(readHeader(headers, HEADERS.revision) ?? NaN);
+  return Number.isSafeInteger(revision) && revision >= 0 ? revision : undefined;
+}
+
 function decodeState(
   board: SidecarBoard,
   address: string,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
   type HeaderNames,
+  type IsUnchanged,
   type KeyChange,
   type KeyValueStore,
   LAG_WINDOW_MS,
@@ -31,6 +32,7 @@
 import {
   createStateClient,
   createStorePeers,
+  answerOldPolls,
   answerPendingPolls,
 } from './peer_state.js';
 import {createProbeClient, probeQuietPeers} from './peer_probe.js';
@@ -80,6 +82,8 @@
   readonly readyPath: string;
   /** Prefix of the store's keys that the daemon follows. */
   readonly prefix: string;
+  /** True when a value of a key says the same as the one before. */
+  readonly isUnchanged: IsUnchanged;
   /** Decodes a change of a key; undefined for unrelated keys. */
   readonly decode: (
     key: string,
@@ -99,6 +103,7 @@
     settings,
     names,
     prefix: deps.prefix,
+    isUnchanged: deps.isUnchanged,
     log,
     random,
     now,
@@ -127,7 +132,7 @@
     const at = now();
     board.list.complete = true;
     if (changes.length === 0) {
-      answerPendingPolls(board);
+      answerOldPolls(board);
       return;
     }
     for (const {key, value} of changes) {
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -24,6 +24,8 @@
   retryMs: 'berylbend-retry-ms',
   /** Time since a daemon's copy of the store was known to be current, ms. */
   ageMs: 'berylbend-age-ms',
+  /** Revision of a daemon's copy of the store that has no newer content. */
+  revision: 'berylbend-revision',
   /** Time for which a daemon held a poll before it answered, ms. */
   heldMs: 'berylbend-held-ms',
 } as const;
