Start daemons from a smaller bundle and a code cache

Most of it was compiling, and loading parts of libraries that no daemon runs: undici's index loads fetch and WebSocket twice (its own and Node's), hdr-histogram-js formats numbers by locale, zod brings all languages, bunyan's mv loads glob, prom-client is needed only when somebody reads the metrics.

--- /dev/null
+++ b/deploy/main.cjs
@@ -0,0 +1,30 @@
+'use strict';
+
+// Runs the bundle from its code cache: compiling it takes longer than the rest
+// of a start. V8 ignores a cache of another version, architecture or set of
+// flags.
+const {existsSync, readFileSync} = require('node:fs');
+const {join} = require('node:path');
+const {Script} = require('node:vm');
+
+const filename = join(__dirname, 'berylbend.cjs');
+const cacheFile = join(__dirname, 'berylbend.cache');
+
+/** Compiles the bundle as the body of a function, as `require` does. */
+function compileBundle() {
+  // esbuild writes ASCII, which takes one byte a character in memory.
+  const source = readFileSync(filename, 'latin1');
+  return new Script(`(function(require,module,exports){${source}\n})`, {
+    filename,
+    cachedData: existsSync(cacheFile) ? readFileSync(cacheFile) : undefined,
+  });
+}
+
+/** Runs a compiled bundle. */
+function runBundle(script) {
+  const bundle = {exports: {}};
+  script.runInThisContext()(require, bundle, bundle.exports);
+}
+
+module.exports = {cacheFile, compileBundle, runBundle};
+if (require.main === module) runBundle(compileBundle());
--- a/src/cli/base.ts
+++ b/src/cli/base.ts
@@ -2,7 +2,7 @@
 import {Command, Flags} from '@oclif/core';
 import {request} from 'undici';
 import {parse as parseYaml} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readText} from '../daemon/settings.js';
 import {
   BerylbendError,
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,5 +1,5 @@
 import {Flags} from '@oclif/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   eventSchema,
   mergeTimelines,
--- a/src/core/store_mirror.ts
+++ b/src/core/store_mirror.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {applyDelta, createDelta} from './value_delta.js';
 
 /** Value of a key in the platform's store. */
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,5 +1,4 @@
 import {build, type Histogram} from 'hdr-histogram-js';
-import {Counter, Gauge, Registry} from 'prom-client';
 import type {Counters} from '../internal.js';
 
 /** Largest latency that a histogram records, µs (one hour). */
@@ -43,6 +42,8 @@
   metrics: Metrics,
   gauges: Record<string, number>,
 ): Promise<string> {
+  // Loaded when asked for: most daemons end without a look at their metrics.
+  const {Counter, Gauge, Registry} = await import('prom-client');
   const registry = new Registry();
   for (const [name, value] of board.counters) {
     const counter = new Counter({
--- a/src/daemon/source.ts
+++ b/src/daemon/source.ts
@@ -1,5 +1,5 @@
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   BerylbendError,
   memberSchema,
--- a/src/sidecar/crash_reports.ts
+++ b/src/sidecar/crash_reports.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {listHosts, recordCrashes, type CrashReport} from '../internal.js';
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {HttpClient} from './http_client.js';
--- a/src/types/document.ts
+++ b/src/types/document.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const NAME = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/);
 
--- a/src/types/events.ts
+++ b/src/types/events.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {hlcSchema} from './messages.js';
 
 /** Kinds of events on the time line. */
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const NAME = z.string().min(1).max(200);
 
--- a/src/types/messages.ts
+++ b/src/types/messages.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {digestSchema, entrySchema, refusalSchema} from './document.js';
 
 const ID = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/);
--- a/standins/control_port.ts
+++ b/standins/control_port.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {memberSchema} from '../src/internal.js';
 import type {ConfigService} from './config_service.js';
 import {createHttpServer, sendJson, type HttpServer} from './http_server.js';
--- a/standins/run.ts
+++ b/standins/run.ts
@@ -1,5 +1,5 @@
 import {parseArgs} from 'node:util';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createConfigService} from './config_service.js';
 import {
   createConfigCommands,
--- a/standins/scenario.ts
+++ b/standins/scenario.ts
@@ -1,5 +1,5 @@
 import {parse} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {checkDocument, MEMBER_STATES, type Document} from '../src/internal.js';
 import {loadExample} from './example.js';
 
