Refuse list entries with values out of range

An entry of another writer with a cold time of 1e29 ms was accepted and made its upstream cold for good; one with 2^53 - 1 slots drew all requests of its service; a port written as 0x50 was read as 80. Deep nesting was refused only by the limit of the stack, where a field was turned into text.

A daemon that ends or stops to follow the list for such an entry was looked for and not found.

--- /dev/null
+++ b/__tests__/odd_entries.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {decodeEntry} from '../platform/decode.js';
+import {meshUpstreamSchema, MAX_COLD_MS} from '../src/internal.js';
+import {startHarness, until} from './support/sidecar_harness.js';
+
+// Entries that another writer has left among those of the upstreams.
+
+const NESTED = '['.repeat(200_000) + ']'.repeat(200_000);
+const VALID = {
+  addr: '127.0.0.1:9',
+  born: 1_000,
+  info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
+  status: {state: 'ready', sequence: 1, cold_left: '0ms'},
+};
+
+const ODD_ENTRIES: Record<string, string> = {
+  nested: NESTED,
+  nestedAddress: `{"addr":${NESTED}}`,
+  nestedState: `{"addr":"127.0.0.1:9","status":{"state":${NESTED}}}`,
+  hugeBirth: JSON.stringify(VALID).replace('1000', '1e400'),
+  hugeSlots: JSON.stringify({
+    ...VALID,
+    info: {...VALID.info, slots: 2 ** 53 - 1},
+  }),
+  longCold: JSON.stringify({
+    ...VALID,
+    status: {...VALID.status, cold_left: `1${'0'.repeat(29)}ms`},
+  }),
+  portTooLarge: JSON.stringify({...VALID, addr: '127.0.0.1:99999'}),
+  portInHex: JSON.stringify({...VALID, addr: '127.0.0.1:0x50'}),
+  noJson: '\u0000\ufffd{',
+};
+
+// Daemons that read the list ended again and again, or stopped following it.
+test.serial('odd entries of other writers leave the list as it is', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1']);
+  const {store, sidecars} = harness;
+  for (const [name, text] of Object.entries(ODD_ENTRIES)) {
+    store.put(`servers/odd-${name}`, text);
+  }
+  store.put('servers/u9', {
+    ...VALID,
+    status: {...VALID.status, state: 'draining'},
+  });
+  for (const {board} of sidecars) {
+    await until(() => board.list.byId.has('u9'));
+    t.deepEqual([...board.list.byId.keys()].sort(), ['u0', 'u1', 'u9']);
+  }
+  t.is((await harness.send(0)).status, 200);
+});
+
+/** Most characters of a line that reports an odd entry. */
+const MAX_REASON_CHARS = 2_000;
+
+// An odd entry made the daemons that read it end, or accept values that no
+// timer or queue can hold.
+test('entries of any shape are refused or within their bounds', t => {
+  const number = fc.oneof(
+    fc.double(),
+    fc.integer(),
+    fc.constantFrom(1e400, 2 ** 53, -1, 0, 65_536, 1e300),
+  );
+  const field = fc.oneof(
+    fc.jsonValue({maxDepth: 6}),
+    number,
+    fc.constantFrom('ready', 'draining', '0ms', '9'.repeat(30) + 's', 's'),
+    fc.constantFrom(
+      '10.0.0.1:1',
+      '10.0.0.1:0x50',
+      '10.0.0.1: 80',
+      ':',
+      '1e9:1',
+    ),
+  );
+  const entry = fc.record(
+    {
+      addr: field,
+      born: field,
+      info: fc.oneof(
+        field,
+        fc.record(
+          {service: field, zone: field, slots: field},
+          {requiredKeys: []},
+        ),
+      ),
+      status: fc.oneof(
+        field,
+        fc.record({state: field, cold_left: field}, {requiredKeys: []}),
+      ),
+    },
+    {requiredKeys: []},
+  );
+  const bytes = fc.oneof(
+    entry.map(value => Buffer.from(JSON.stringify(value))),
+    fc.uint8Array({maxLength: 200}).map(value => Buffer.from(value)),
+  );
+  fc.assert(
+    fc.property(bytes, value => {
+      const update = decodeEntry('servers/odd', value);
+      if (update?.kind === 'unreadable') {
+        return update.reason.length <= MAX_REASON_CHARS;
+      }
+      if (update?.kind !== 'upstream') return false;
+      const {coldMs, slots, port} = update.upstream;
+      return (
+        meshUpstreamSchema.safeParse(update.upstream).success &&
+        coldMs <= MAX_COLD_MS &&
+        Number.isSafeInteger(slots) &&
+        port >= 1 &&
+        port <= 65_535
+      );
+    }),
+    {seed: 34, numRuns: 2_000},
+  );
+  t.pass();
+});
+
+test('configurations of any shape are refused or accepted', t => {
+  fc.assert(
+    fc.property(fc.jsonValue({maxDepth: 5}), value => {
+      const text = Buffer.from(JSON.stringify(value));
+      return decodeEntry('op/config', text)?.kind === 'unreadable';
+    }),
+    {seed: 34, numRuns: 500},
+  );
+  const nested = decodeEntry('op/config', Buffer.from(`{"routes":${NESTED}}`));
+  t.is(nested?.kind, 'unreadable');
+});
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -55,6 +55,15 @@
   limits: meshLimitsSchema,
 });
 
+/** Most slots of an upstream; more would draw all requests of its service. */
+const MAX_SLOTS = 100_000;
+
+/** Longest time for which an upstream can say that it is cold, ms. */
+export const MAX_COLD_MS = 3_600_000;
+
+/** Latest time that a Date can hold, Unix ms. */
+const MAX_UNIX_MS = 8.64e15;
+
 /** Schema of an upstream as listed by the platform. */
 export const meshUpstreamSchema = z.object({
   id: NAME,
@@ -62,12 +71,12 @@
   host: z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}$/),
   port: z.int().min(1).max(65_535),
   dataCentre: NAME,
-  slots: z.int().min(1),
+  slots: z.int().min(1).max(MAX_SLOTS),
   state: z.enum(['live', 'leaving']),
   /** Remaining time as a cold upstream when the record was written, ms. */
-  coldMs: z.number().min(0),
+  coldMs: z.number().min(0).max(MAX_COLD_MS),
   /** Start of this incarnation, wall ms; 0 when not stated. */
-  startedAt: z.number().min(0),
+  startedAt: z.int().min(0).max(MAX_UNIX_MS),
 });
 
 /** Link rate assumed when the settings state none (10 Gbit/s). */
