Believe a refusal only if it names the request

An upstream that wrote an earlier refusal once more, without an id, made the owner take a running booking for not run; it ran at a second upstream. After an answer with another id the connection stayed open, and the next request on it got no answer either (504).

The owner now checks the head of each answer. One that names another request, and a refusal or a 421 that names none, ends the call as one that may have run and closes the connection. Health checks ignore answers to requests, and the cold time that they state has the bound of the list.

Ruled out: waiting for the own answer behind a crossed one (undici reports one answer for each request).

--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -14,12 +14,25 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /**
+   * Tells from its head whether an answer belongs to the request; by default
+   * each one does. Any other answer ends the call as broken and closes the
+   * connection, on which later answers would be those of earlier requests.
+   */
+  readonly isOwnAnswer?: (head: AnswerHead) => boolean;
 }
 
-/** Complete answer. */
-export interface HttpAnswer {
+/** Head of an answer. */
+export interface AnswerHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+}
+
+/** Code of a call that got the answer to another request. */
+export const CROSSED_ANSWER = 'CROSSED_ANSWER';
+
+/** Complete answer. */
+export interface HttpAnswer extends AnswerHead {
   readonly body: Buffer;
   /**
    * False when only the end of the connection marks the end of the body: it may
@@ -96,8 +109,8 @@
   };
   return {
     send(origin, request, now) {
-      const call = new Call(socketErrors);
-      const {method, path, headers, body} = request;
+      const {method, path, headers, body, isOwnAnswer} = request;
+      const call = new Call(socketErrors, isOwnAnswer);
       getOrCreatePool(origin, now).dispatch(
         {
           method: method as Dispatcher.HttpMethod,
@@ -163,7 +176,10 @@
   #chunks: Buffer[] = [];
   #size = 0;
 
-  constructor(private readonly socketErrors: SocketErrorState) {
+  constructor(
+    private readonly socketErrors: SocketErrorState,
+    private readonly isOwnAnswer: HttpRequest['isOwnAnswer'],
+  ) {
     this.result = new Promise(resolve => (this.#settle = resolve));
   }
 
@@ -191,11 +207,16 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
+    if (this.isOwnAnswer && !this.isOwnAnswer({status, headers})) {
+      this.#end({kind: 'broken', code: CROSSED_ANSWER});
+      controller.abort(CANCELLED);
+      return;
+    }
     this.#status = status;
     this.#headers = headers;
   }
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -20,8 +20,10 @@
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {
+  type AnswerHead,
   type HttpCall,
   type HttpResult,
+  CROSSED_ANSWER,
   createHttpClient,
 } from './http_client.js';
 import {applyAnnouncements, isLeaving} from './announcements.js';
@@ -245,7 +247,13 @@
   const {method, target, body} = request;
   const {host, port} = settings.upstream;
   const origin = `http://${host}:${port}`;
-  return client.send(origin, {method, path: target, headers, body}, now);
+  const isOwnAnswer = (head: AnswerHead) =>
+    classifyAnswer(names, request.requestId, head) !== 'crossed';
+  return client.send(
+    origin,
+    {method, path: target, headers, body, isOwnAnswer},
+    now,
+  );
 }
 
 type Refuse = (
@@ -278,6 +286,12 @@
     refuse('upstreamDown', 0);
     return;
   }
+  if (result.kind === 'broken' && result.code === CROSSED_ANSWER) {
+    finish('failed');
+    count(board, 'owner_bad_answers');
+    end({kind: 'broken', outcome: 'crossedAnswer', code: result.code});
+    return;
+  }
   if (result.kind === 'broken') {
     finish('failed');
     handleBrokenCall(state, request, result.code, true);
@@ -286,22 +300,13 @@
   }
   const {answer} = result;
   state.answeredAt = now;
-  const answerClass = classifyAnswer(board, request, answer);
   // A 421 comes from another upstream at the same address.
-  if (answerClass !== 'crossed' && answer.status !== 421) {
-    applyAnnouncements(board, request, answer);
-  }
-  if (answerClass === 'notRun') {
+  if (answer.status !== 421) applyAnnouncements(board, request, answer);
+  if (classifyAnswer(board.names, request.requestId, answer) === 'notRun') {
     finish('failed');
     refuse(answer.status === 421 ? 'wrongOwner' : 'shed', 0, true);
     return;
   }
-  if (answerClass === 'crossed') {
-    finish('failed');
-    count(board, 'owner_bad_answers');
-    end({kind: 'broken', outcome: 'crossedAnswer', code: 'BAD_ANSWER'});
-    return;
-  }
   finish(answer.status >= 500 ? 'failed' : 'answered');
   recordLatency(board.metrics, 'upstream', heldMs);
   recordFinished(board.suspects, request.fingerprint, now);
--- a/src/sidecar/owner_checks.ts
+++ b/src/sidecar/owner_checks.ts
@@ -1,9 +1,14 @@
-import {type Outcome, findByAddress, isCold} from '../internal.js';
+import {
+  type HeaderNames,
+  type Outcome,
+  findByAddress,
+  isCold,
+} from '../internal.js';
 import {isLeaving} from './announcements.js';
 import {type SidecarBoard, isOverdue} from './board.js';
 import type {ForwardRequest} from './forward.js';
 import {readHeader} from './header_copy.js';
-import type {HttpAnswer} from './http_client.js';
+import type {AnswerHead} from './http_client.js';
 
 /** Checks a request on arrival; returns the reason to refuse it, if any. */
 export function checkArrival(
@@ -36,14 +41,18 @@
  * `notRun` its refusal to run it, `crossed` anything else.
  */
 export function classifyAnswer(
-  {names}: SidecarBoard,
-  request: ForwardRequest,
-  {status, headers}: HttpAnswer,
+  names: HeaderNames,
+  requestId: string,
+  {status, headers}: AnswerHead,
 ): 'own' | 'notRun' | 'crossed' {
   const id = readHeader(headers, names.requestId);
   // An answer with another id is a late answer to an earlier request.
-  if (id !== undefined && id !== request.requestId) return 'crossed';
-  if (headers[names.notRun] !== undefined || status === 421) return 'notRun';
+  if (id !== undefined && id !== requestId) return 'crossed';
+  if (headers[names.notRun] !== undefined || status === 421) {
+    // Without an id it may be an earlier refusal that was written once more,
+    // while this request is running.
+    return id === undefined ? 'crossed' : 'notRun';
+  }
   if (headers['content-encoding'] !== undefined) return 'crossed';
   const signed = headers[names.signature] !== undefined;
   if (status < 400 && (!signed || id === undefined)) return 'crossed';
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -1,4 +1,5 @@
 import {
+  MAX_COLD_MS,
   count,
   refuseQueued,
   isCold,
@@ -9,7 +10,7 @@
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardRequest} from './forward.js';
 import {readHeader} from './header_copy.js';
-import type {HttpClient} from './http_client.js';
+import type {AnswerHead, HttpClient} from './http_client.js';
 import type {IncomingHttpHeaders} from 'node:http';
 
 /** Timeout of a health check, ms. */
@@ -140,6 +141,9 @@
     path: service.healthPath,
     headers: [],
     body: undefined,
+    // A late answer to a request says nothing about a cold upstream.
+    isOwnAnswer: ({headers}: AnswerHead) =>
+      headers[board.names.requestId] === undefined,
   };
   const call = client.send(`http://${host}:${port}`, request, board.now());
   const cancelTimeout = setReplyTimeout(() => call.abort(), HEALTH_TIMEOUT_MS);
@@ -155,7 +159,7 @@
   const own = findOwnUpstream(board);
   const listedColdMs = own ? own.coldUntil - now : 0;
   const coldForMs = Math.max(
-    Number.isFinite(coldMs) ? coldMs : 0,
+    Number.isFinite(coldMs) ? Math.min(coldMs, MAX_COLD_MS) : 0,
     listedColdMs,
     0,
   );
