Test the guards of owners that no test would have missed

The test of the announced stop passed without it since the load report of the first answer alone kept the entry away; it now drops the reports.

--- a/__tests__/peer_state.test.ts
+++ b/__tests__/peer_state.test.ts
@@ -109,6 +109,13 @@
   return replies;
 }
 
+// Daemons took the old copy of a reader that had lost the store for a fresh one.
+test('an answer states the age of the copy', async t => {
+  const [reply] = await pollWithTurnaround(t, 0);
+  const {ageMs = 0} = reply as {ageMs?: number};
+  t.true(ageMs >= FRESH_MS, `${ageMs} ms`);
+});
+
 // The reader of a data centre was a daemon with a saturated link: its answers
 // came too late, and those who asked served by an old list of upstreams.
 test('a daemon whose answers are slow lets others be asked', async t => {
--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -590,6 +590,9 @@
     t.is((await harness.send(0)).status, 200);
     t.is(leaving.runs.length, 1);
     owner.board.announcedLeaving.clear();
+    // Without its load reports only the announcement keeps the entry away.
+    entry.board.balance.clear();
+    for (let i = 0; i < 50; i++) recordTargetSend(entry.board.balance, own.id);
     for (let i = 0; i < 5; i++) t.is((await harness.send(0)).status, 200);
     t.is(leaving.runs.length, 1);
   },
