Choose upstreams by what is known of the others

On 196 daemons most choices see no load report that is younger than 1.5 s. An upstream without one counted as idle: daemons sent at random, to slow ones as often as to fast ones, and stayed in a data centre that was full.

- The speed and the failures in a report count for 6 s, its load for 1.5 s.
- Without a fresh report an upstream counts as busy as those beside it on average, and as full only above 1.5 of its slots.
- A choice considers all upstreams with a fresh report and two others in this and in the other data centres each, so that the daemons of a large fleet do not all run to the one that they remember as fast.

--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -1,8 +1,16 @@
 import type {ListedUpstream} from './upstream_list.js';
 
-/** Age beyond which a load report is ignored, ms. */
+/** Age beyond which the load in a report is ignored, ms. */
 const REPORT_MAX_AGE_MS = 1_500;
 
+/** Age beyond which the speed and the failures in a report are ignored, ms. They
+ * change more slowly, and in a large fleet most reports are seconds old. */
+const SPEED_MAX_AGE_MS = 6_000;
+
+/** Upstreams without a fresh report that one choice considers in this and in
+ * the other data centres each. */
+const STALE_SAMPLE = 2;
+
 /** First ejection time after a failed connection, ms. */
 const EJECT_MIN_MS = 500;
 
@@ -12,6 +20,10 @@
 /** Load above which an upstream counts as full, requests per slot. */
 const FULL_LOAD = 1;
 
+/** The same for an upstream whose load is only estimated: a few reports of others
+ * scatter too much to leave the data centre for a short queue. */
+const ESTIMATED_FULL_LOAD = 1.5;
+
 /** Weight of the share of failures in the score. */
 const FAIL_WEIGHT = 4;
 
@@ -96,16 +108,15 @@
   random: () => number,
   now: number,
 ): ListedUpstream | undefined {
+  const eligible = upstreams.filter(upstream =>
+    isEligible(state, upstream, context, now),
+  );
+  const view = createView(state, eligible, now);
   let best: ListedUpstream | undefined;
   let bestScore = Infinity;
-  const fastestMs = findFastestMs(state, upstreams, now);
-  for (const upstream of upstreams) {
-    if (upstream.state !== 'live' || context.tried.has(upstream.id)) continue;
-    if (context.takenOut.has(upstream.dataCentre)) continue;
+  for (const upstream of sampleStale(state, eligible, context, random, now)) {
     const stats = getTargetStats(state, upstream.id);
-    if (now < stats.ejectedUntil) continue;
-    if (now < stats.fullUntil && context.rank >= stats.fullRank) continue;
-    const score = computeScore(upstream, stats, context, fastestMs, now);
+    const score = computeScore(upstream, stats, context, view, now);
     const jitteredScore = score * (1 + 0.1 * random());
     if (jitteredScore < bestScore) {
       best = upstream;
@@ -115,52 +126,125 @@
   return best;
 }
 
-function getFreshReport(
-  stats: TargetStats,
+function isEligible(
+  state: BalanceState,
+  {id, state: listedState, dataCentre}: ListedUpstream,
+  {tried, takenOut, rank}: ChoiceContext,
+  now: number,
+): boolean {
+  if (listedState !== 'live' || tried.has(id)) return false;
+  if (takenOut.has(dataCentre)) return false;
+  const {ejectedUntil, fullUntil, fullRank} = getTargetStats(state, id);
+  if (now < ejectedUntil) return false;
+  return now >= fullUntil || rank < fullRank;
+}
+
+/**
+ * Keeps all upstreams with a fresh load report, and a few others of this and of
+ * the other data centres. All daemons of a large fleet remember the same
+ * upstreams as fast; if each of them asked the best one, it would be full.
+ */
+function sampleStale(
+  state: BalanceState,
+  eligible: readonly ListedUpstream[],
+  {dataCentre}: ChoiceContext,
+  random: () => number,
+  now: number,
+): ListedUpstream[] {
+  const kept: ListedUpstream[] = [];
+  const near: ListedUpstream[] = [];
+  const far: ListedUpstream[] = [];
+  for (const upstream of eligible) {
+    const stats = getTargetStats(state, upstream.id);
+    if (getReport(stats, REPORT_MAX_AGE_MS, now)) kept.push(upstream);
+    else if (upstream.dataCentre === dataCentre) near.push(upstream);
+    else far.push(upstream);
+  }
+  return [...kept, ...pickSome(near, random), ...pickSome(far, random)];
+}
+
+function pickSome(
+  upstreams: ListedUpstream[],
+  random: () => number,
+): ListedUpstream[] {
+  if (upstreams.length <= STALE_SAMPLE) return upstreams;
+  const rest = [...upstreams];
+  return Array.from({length: STALE_SAMPLE}, () => {
+    const index = Math.floor(random() * rest.length);
+    return rest.splice(index, 1)[0];
+  });
+}
+
+/** The last report of an upstream, unless it is older than `maxAgeMs`. */
+function getReport(
+  {report, reportAt}: TargetStats,
+  maxAgeMs: number,
   now: number,
 ): LoadReport | undefined {
-  const fresh = now - stats.reportAt <= REPORT_MAX_AGE_MS;
-  return fresh ? stats.report : undefined;
+  return now - reportAt <= maxAgeMs ? report : undefined;
+}
+
+/** What a daemon knows of a service as a whole. */
+interface ServiceView {
+  /** Mean time of the fastest upstream, ms; Infinity if none is known. */
+  readonly fastestMs: number;
+  /** Mean load by data centre, requests per slot, from fresh reports. */
+  readonly loads: ReadonlyMap<string, number>;
 }
 
-function findFastestMs(
+function createView(
   state: BalanceState,
   upstreams: readonly ListedUpstream[],
   now: number,
-): number {
+): ServiceView {
   let fastestMs = Infinity;
-  for (const {id} of upstreams) {
-    const stats = state.get(id);
-    const report = stats && getFreshReport(stats, now);
-    if (report && report.meanMs > 0) {
-      fastestMs = Math.min(fastestMs, report.meanMs);
-    }
+  const sums = new Map<string, {load: number; reports: number}>();
+  for (const {id, dataCentre} of upstreams) {
+    const stats = getTargetStats(state, id);
+    const known = getReport(stats, SPEED_MAX_AGE_MS, now);
+    if (!known) continue;
+    if (known.meanMs > 0) fastestMs = Math.min(fastestMs, known.meanMs);
+    if (!getReport(stats, REPORT_MAX_AGE_MS, now)) continue;
+    const sum = sums.get(dataCentre) ?? {load: 0, reports: 0};
+    sum.load += (known.inFlight + known.queued) / known.slots;
+    sum.reports++;
+    sums.set(dataCentre, sum);
   }
-  return fastestMs;
+  const loads = new Map(
+    [...sums].map(([name, {load, reports}]) => [name, load / reports]),
+  );
+  return {fastestMs, loads};
 }
 
 function computeScore(
   upstream: ListedUpstream,
   stats: TargetStats,
   context: ChoiceContext,
-  fastestMs: number,
+  {fastestMs, loads}: ServiceView,
   now: number,
 ): number {
-  const report = getFreshReport(stats, now);
-  const slots = report?.slots ?? upstream.slots;
-  const reportedBusy = report ? report.inFlight + report.queued : 0;
-  const busy = Math.max(stats.outstanding, reportedBusy + stats.sent);
+  const report = getReport(stats, REPORT_MAX_AGE_MS, now);
+  const known = getReport(stats, SPEED_MAX_AGE_MS, now);
+  const slots = known?.slots ?? upstream.slots;
+  const {outstanding, sent} = stats;
+  // Without a fresh report an upstream counts as busy as the others beside it.
+  const busy = report
+    ? Math.max(outstanding, report.inFlight + report.queued + sent)
+    : outstanding + (loads.get(upstream.dataCentre) ?? 0) * slots;
   const load = (busy + 1) / slots;
   let score = load;
-  if (report) {
-    score += FAIL_WEIGHT * report.failShare;
-    if (report.meanMs > 0 && fastestMs < Infinity) {
-      score += TIME_WEIGHT * (report.meanMs / fastestMs - 1);
+  if (known) {
+    score += FAIL_WEIGHT * known.failShare;
+    if (known.meanMs > 0 && fastestMs < Infinity) {
+      score += TIME_WEIGHT * (known.meanMs / fastestMs - 1);
     }
-    if (report.leaving) score += 2 * REMOTE_SCORE;
   }
+  if (report?.leaving) score += 2 * REMOTE_SCORE;
   if ((report?.cold ?? now < upstream.coldUntil) && load > 0.2) score += 1;
-  if (load > FULL_LOAD) score += REMOTE_SCORE;
+  const isFull = report
+    ? load > FULL_LOAD
+    : load > ESTIMATED_FULL_LOAD || outstanding >= slots * FULL_LOAD;
+  if (isFull) score += REMOTE_SCORE;
   if (upstream.dataCentre !== context.dataCentre) {
     score += context.heavy ? REMOTE_SCORE * 2 : REMOTE_SCORE / 2;
   }
@@ -175,7 +259,7 @@
   now: number,
 ): number {
   const stats = state.get(id);
-  const report = stats && getFreshReport(stats, now);
+  const report = stats && getReport(stats, REPORT_MAX_AGE_MS, now);
   if (!report) return 0;
   const {inFlight, queued, slots, meanMs} = report;
   const waiting = Math.max(0, inFlight + queued + 1 - slots);
