Rank the sources of updates once for each change of the list

The ranking is kept until an entry changes; an entry that is kept for the grace time after an outage now counts as a change too.

--- a/__tests__/owner_guards.test.ts
+++ b/__tests__/owner_guards.test.ts
@@ -5,6 +5,7 @@
   MAX_COPY_AGE_MS,
   admit,
   createLimiter,
+  markChanged,
   setStatedRate,
   type LimiterRequest,
 } from '../src/internal.js';
@@ -52,7 +53,7 @@
     prepare: ({list}) => {
       const own = list.byId.get('u0');
       if (own) list.byId.set('u0', {...own, state: 'leaving'});
-      list.index = undefined;
+      markChanged(list);
     },
   },
   'its upstream has said that it leaves': {
@@ -63,7 +64,7 @@
     reason: 'leaving',
     prepare: ({list}) => {
       list.byId.delete('u0');
-      list.index = undefined;
+      markChanged(list);
     },
   },
   'its copy is overdue': {
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -25,6 +25,8 @@
 /** Known upstreams, and the data centres that are taken out. */
 export interface UpstreamList {
   readonly byId: Map<string, ListedUpstream>;
+  /** Increases with each change of an entry. */
+  version: number;
   /** Look-up maps; undefined after a change until they are needed. */
   index?: ListIndex;
   readonly takenOut: Set<string>;
@@ -38,6 +40,7 @@
 export function createUpstreamList(): UpstreamList {
   return {
     byId: new Map(),
+    version: 0,
     takenOut: new Set(),
     complete: false,
     keepMissingUntil: -Infinity,
@@ -55,7 +58,7 @@
   if (known && record.startedAt < known.startedAt) return false;
   const coldUntil = now + record.coldMs;
   list.byId.set(record.id, {...record, coldUntil});
-  list.index = undefined;
+  markChanged(list);
   return (
     !known ||
     known.state !== record.state ||
@@ -77,10 +80,11 @@
   if (!known || known.expiresAt !== undefined) return false;
   if (known.state === 'live' && now < list.keepMissingUntil) {
     known.expiresAt = list.keepMissingUntil;
+    markChanged(list);
     return false;
   }
   list.byId.delete(id);
-  list.index = undefined;
+  markChanged(list);
   return true;
 }
 
@@ -99,10 +103,16 @@
     if (expiresAt !== undefined && now >= expiresAt) expired.push(id);
   }
   for (const id of expired) list.byId.delete(id);
-  if (expired.length > 0) list.index = undefined;
+  if (expired.length > 0) markChanged(list);
   return expired;
 }
 
+/** Records that an entry was added, changed or removed. */
+export function markChanged(list: UpstreamList): void {
+  list.version++;
+  list.index = undefined;
+}
+
 /** Returns the look-up maps. Many entries change in one update, so the maps are
  * rebuilt once after it and not with each entry. */
 function getIndex(list: UpstreamList): ListIndex {
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -199,10 +199,19 @@
 ): StorePeers {
   const {settings} = board;
   const own = `${settings.host}:${settings.peerPort}`;
+  let ranked: readonly string[] = [];
+  let rankedVersion = -1;
   return {
     own,
-    rank: () =>
-      rankSources(settings.dataCentre, listReaderCandidates(board), own),
+    rank: () => {
+      const {version} = board.list;
+      if (version !== rankedVersion) {
+        const candidates = listReaderCandidates(board);
+        ranked = rankSources(settings.dataCentre, candidates, own);
+        rankedVersion = version;
+      }
+      return ranked;
+    },
     pickAny: () => pickAny(board),
     ask: (address, after, waitMs) =>
       askPeer(board, client, address, after, waitMs),
