Split load reports from the choice; keep the platform's words out of bench/

The measurement of sidecar processes speaks the platform's store and headers like the soak, so it stands beside it (soak/cost.ts), and its flags are those of the deploy file.

--- a/bench/sidecars.ts
+++ b/soak/cost.ts
@@ -11,11 +11,11 @@
 import {join, resolve} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {parseArgs} from 'node:util';
-import {createDaemonSettings, PORTS} from '../soak/daemons.js';
-import {listen} from '../soak/proxy.js';
-import {startStoreServer} from '../soak/store_server.js';
+import {appendHistory} from '../bench/support/history.js';
 import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
-import {appendHistory} from './support/history.js';
+import {createDaemonSettings, PORTS} from './daemons.js';
+import {listen} from './proxy.js';
+import {startStoreServer} from './store_server.js';
 
 // Measures sidecar processes beside stand-in upstreams, at the request rate of
 // one daemon of a large fleet: processor time of the start, at rest, and of the
@@ -33,6 +33,10 @@
 /** Size of an answer, bytes. */
 const ANSWER_BYTES = 2_000;
 
+const NODE_FLAGS =
+  '--max-old-space-size=160 --max-semi-space-size=2 ' +
+  '--semi-space-growth-factor=1 --single-threaded';
+
 const READY_TIMEOUT_MS = 20_000;
 
 /** Data centres of the upstreams without a daemon. */
@@ -46,9 +50,10 @@
     seconds: {type: 'string', default: '45'},
     /** Directory for V8 profiles of the daemons. */
     profile: {type: 'string'},
-    /** Further options of Node, separated by blanks. */
-    node: {type: 'string', default: '--max-old-space-size=160'},
-    bundle: {type: 'string', default: 'target/berylbend.cjs'},
+    /** Options of Node, separated by blanks; by default those of the deploy
+     * file, for which the code cache is made. */
+    node: {type: 'string', default: NODE_FLAGS},
+    bundle: {type: 'string', default: 'target/main.cjs'},
   },
 });
 
--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -1,3 +1,4 @@
+import type {LoadReport} from './load_report.js';
 import type {ListedUpstream} from './upstream_list.js';
 
 /** Age beyond which the load in a report is ignored, ms. */
@@ -36,20 +37,6 @@
  */
 const REMOTE_SCORE = 10;
 
-/** Load of an upstream, reported by its daemon. */
-export interface LoadReport {
-  readonly inFlight: number;
-  /** Requests that wait for a slot, or unread for the daemon. */
-  readonly queued: number;
-  readonly slots: number;
-  readonly meanMs: number;
-  /** Share of failed requests, 0 to 1. */
-  readonly failShare: number;
-  readonly cold: boolean;
-  /** True when the daemon or its upstream is about to stop. */
-  readonly leaving: boolean;
-}
-
 interface TargetStats {
   report?: LoadReport;
   reportAt: number;
@@ -361,31 +348,3 @@
     if (!listed.has(id) && outstanding === 0) state.delete(id);
   }
 }
-
-/** Formats a load report as a header value. */
-export function formatReport(report: LoadReport): string {
-  const flags = (report.cold ? 1 : 0) + (report.leaving ? 2 : 0);
-  const {inFlight, queued, slots, meanMs, failShare} = report;
-  const percent = Math.round(failShare * 100);
-  return [inFlight, queued, slots, Math.round(meanMs), percent, flags].join();
-}
-
-/** Parses the header value; undefined when absent or malformed. */
-export function parseReport(text: string | undefined): LoadReport | undefined {
-  const match = /^(\d{1,6}),(\d{1,6}),(\d{1,6}),(\d{1,7}),(\d{1,3}),(\d)$/.exec(
-    text ?? '',
-  );
-  if (!match) return undefined;
-  const [inFlight, queued, slots, meanMs, percent, flags] = match
-    .slice(1)
-    .map(Number);
-  return {
-    inFlight,
-    queued,
-    slots: Math.max(1, slots),
-    meanMs,
-    failShare: percent / 100,
-    cold: (flags & 1) !== 0,
-    leaving: (flags & 2) !== 0,
-  };
-}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -33,6 +33,7 @@
 export * from './core/routing.js';
 export * from './core/suspects.js';
 export * from './core/limits.js';
+export * from './core/load_report.js';
 export * from './core/stall.js';
 export * from './core/admission.js';
 export * from './core/keys.js';
