Accept health answers that bear an id

Since the check of answers by id, a health answer with a request id counted as the late answer to a request. An upstream that generates an id for each answer would have counted as down for good.

Only answers to requests are signed, so the signature decides, and a check that gets such an answer is repeated once on another connection before the upstream counts as down. With the check by id the first new test waits for ever (timeout); the second guards against a late answer that declares a cold upstream warm.

--- a/__tests__/owner_guards.test.ts
+++ b/__tests__/owner_guards.test.ts
@@ -10,7 +10,13 @@
   type LimiterRequest,
 } from '../src/internal.js';
 import type {SidecarBoard} from '../src/sidecar/board.js';
-import {answerOk, startHarness, until} from './support/sidecar_harness.js';
+import {
+  answerOk,
+  startHarness,
+  until,
+  type HarnessUpstream,
+  type SidecarHarness,
+} from './support/sidecar_harness.js';
 
 /** Forwards a request as an entry does; returns status and reason. */
 function forward(
@@ -146,6 +152,48 @@
   t.is(harness.sidecars[0].board.limiter.statedPerS, 0);
 });
 
+/** Lists a new incarnation of the upstream, whose health is then checked. */
+function relist(
+  {store}: SidecarHarness,
+  {host, port}: HarnessUpstream,
+  born: number,
+): void {
+  store.put('servers/u0', {
+    addr: `${host}:${port}`,
+    born,
+    info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
+    status: {state: 'ready', sequence: 1, cold_left: '0ms'},
+  });
+}
+
+// Health answers with an id were taken for late answers to requests: an upstream
+// that generates an id for each answer counted as down.
+test.serial('a health answer may have an id', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [own] = harness.upstreams;
+  const [{board}] = harness.sidecars;
+  own.health = {'x-request-id': 'generated', 'x-cold-ms': '40000'};
+  relist(harness, own, 2_000);
+  await until(() => board.list.byId.get('u0')?.startedAt === 2_000);
+  await until(() => Number.isFinite(board.limiter.coldUntil));
+  t.true(board.limiter.coldUntil > board.now() + 30_000);
+  t.false(board.limiter.down);
+  t.is(board.counters.get('health_checks'), 2);
+});
+
+// A late answer to a request said that a cold upstream was warm.
+test.serial('a late answer does not end a health check', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [own] = harness.upstreams;
+  const [{board}] = harness.sidecars;
+  own.health = {'x-server-stamp': 'signed', 'x-request-id': 'earlier'};
+  relist(harness, own, 2_000);
+  await until(() => (board.counters.get('health_checks') ?? 0) >= 2);
+  own.health = {'x-cold-ms': '40000'};
+  await until(() => Number.isFinite(board.limiter.coldUntil));
+  t.true(board.limiter.coldUntil > board.now() + 30_000);
+});
+
 // A new incarnation has not stated any limit yet.
 test.serial('a restarted upstream has no limit', async t => {
   const harness = await startHarness(t, ['dc1']);
@@ -157,12 +205,7 @@
   };
   await harness.send(0);
   t.is(board.limiter.statedPerS, 5);
-  harness.store.put('servers/u0', {
-    addr: `${own.host}:${own.port}`,
-    born: 2_000,
-    info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
-    status: {state: 'ready', sequence: 1, cold_left: '0ms'},
-  });
+  relist(harness, own, 2_000);
   await until(() => board.list.byId.get('u0')?.startedAt === 2_000);
   t.is(board.limiter.statedPerS, undefined);
 });
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -10,7 +10,11 @@
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardRequest} from './forward.js';
 import {readHeader} from './header_copy.js';
-import type {AnswerHead, HttpClient} from './http_client.js';
+import {
+  type AnswerHead,
+  type HttpClient,
+  CROSSED_ANSWER,
+} from './http_client.js';
 import type {IncomingHttpHeaders} from 'node:http';
 
 /** Timeout of a health check, ms. */
@@ -124,9 +128,11 @@
   board.limiter.down = false;
 }
 
-/** Sends one health check; returns the headers of its answer, if any. */
+/** Sends one health check; returns the headers of its answer, if any. A check
+ * that gets the answer to a request is repeated on another connection. */
 async function fetchHealth(
   state: OwnerState,
+  retries = 1,
 ): Promise<IncomingHttpHeaders | undefined> {
   const {board, client} = state;
   const {settings, table} = board;
@@ -141,14 +147,17 @@
     path: service.healthPath,
     headers: [],
     body: undefined,
-    // A late answer to a request says nothing about a cold upstream.
+    // A late answer to a request says nothing about a cold upstream. Only those
+    // are signed; an id proves nothing, since some upstreams generate one.
     isOwnAnswer: ({headers}: AnswerHead) =>
-      headers[board.names.requestId] === undefined,
+      headers[board.names.signature] === undefined,
   };
   const call = client.send(`http://${host}:${port}`, request, board.now());
   const cancelTimeout = setReplyTimeout(() => call.abort(), HEALTH_TIMEOUT_MS);
   const result = await call.result;
   cancelTimeout();
+  const crossed = result.kind === 'broken' && result.code === CROSSED_ANSWER;
+  if (crossed && retries > 0) return fetchHealth(state, retries - 1);
   return result.kind === 'answer' ? result.answer.headers : undefined;
 }
 
