review: case 2, a late copy of a health answer is taken for a booking's

The copy of a 503 to a health check has no request id, and is passed on as the answer to the booking that runs.

--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -1,6 +1,9 @@
 // Stand-in for an application backend: `slots` requests at once and a few
 // queued, one request at a time on a connection, answers with the id and a
-// signature. `options.answer` may replace how one answer is written.
+// signature. Options that differ from a plain backend: `failing` (its health
+// check says 503), `copyEvery` (one answer in so many is written a second time,
+// late: while the next request of the connection runs) and `answer` (replaces
+// how an answer is written).
 import {randomBytes} from 'node:crypto';
 import {createServer} from 'node:net';
 import {createParser, formatMessage} from './http_bytes.mjs';
@@ -14,6 +17,7 @@
   const sockets = new Set();
   let busy = 0;
   let stamps = 0;
+  let answers = 0;
   const next = () => {
     while (busy < slots && queue.length > 0) run(queue.shift());
   };
@@ -31,6 +35,11 @@
     }
     const ms = job.health ? 1 : workMs;
     const timer = setTimeout(end, ms);
+    if (socket.lateCopy) {
+      record.write(id, `writes a second time: ${socket.lateCopy.of}`);
+      socket.write(socket.lateCopy.bytes);
+      socket.lateCopy = undefined;
+    }
     // Like most backends, it drops a request when its connection closes.
     socket.once('close', end);
     function end() {
@@ -52,8 +61,15 @@
         };
     if (options.answer?.({...job, own, requestId})) return;
     const body = health ? '' : `answer to ${requestId}`;
-    socket.write(formatMessage('HTTP/1.1 200 OK', own, body));
-    if (!health) record.write(id, `answers ${requestId} 200`);
+    const isDown = health && options.failing;
+    const first = `HTTP/1.1 ${isDown ? '503 Service Unavailable' : '200 OK'}`;
+    const bytes = formatMessage(first, own, body);
+    const of = `${first} to ${requestId ?? 'a health check'}`;
+    socket.write(bytes);
+    record.write(id, `answers ${of}`);
+    if (options.copyEvery && answers++ % options.copyEvery === 0) {
+      socket.lateCopy = {of, bytes};
+    }
   };
   const accept = (socket, message) => {
     const {headers, first} = message;
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -52,3 +52,39 @@
     });
   });
 }
+
+/**
+ * Sends one request on a connection of its own and reads the answer slowly, at
+ * about `bytesPerS`. Resolves when the connection ends: `clean` tells whether it
+ * ended in order, as an answer without a length does. `onHead` is called when
+ * the head of the answer is complete.
+ */
+export function download(host, port, bytes, bytesPerS, onHead) {
+  return new Promise(resolve => {
+    const socket = connect(port, host, () => socket.write(bytes));
+    let head;
+    let text = Buffer.alloc(0);
+    let received = 0;
+    let error = false;
+    socket.on('data', chunk => {
+      received += chunk.length;
+      if (!head) {
+        text = Buffer.concat([text, chunk]);
+        const end = text.indexOf('\r\n\r\n');
+        if (end >= 0) {
+          head = text.toString('latin1', 0, end);
+          received = text.length - end - 4;
+          onHead(head);
+        }
+      }
+      socket.pause();
+      setTimeout(() => socket.resume(), (chunk.length * 1_000) / bytesPerS);
+    });
+    socket.on('error', () => (error = true));
+    let ended = false;
+    socket.on('end', () => (ended = true));
+    socket.on('close', () => {
+      resolve({head: head ?? '', received, clean: ended && !error});
+    });
+  });
+}
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -105,7 +105,8 @@
 /**
  * Starts a deployment. `plan.machines` lists {zone, service} for each machine;
  * `plan.services` the services by name with slots and workMs; `plan.routes` the
- * routes of the first configuration; `plan.backend` further backend options.
+ * routes of the first configuration; `plan.backend(i, service)` further options of the
+ * backend of machine i.
  */
 export async function startFleet(plan, record) {
   const {machines, services, routes} = plan;
@@ -125,7 +126,7 @@
     const host = hosts[i];
     const id = `i-${randomBytes(4).toString('hex')}`;
     const backend = await startBackend({
-      ...plan.backend,
+      ...plan.backend?.(i, service),
       ...services[service],
       id,
       host,
