--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -31,7 +31,7 @@
     } else {
       const requestId = headers['x-request-id'];
       record.write(id, `runs ${requestId}: ${first}`);
-      onRun({backend: id, requestId, message});
+      onRun({backend: id, requestId, message, at: performance.now()});
     }
     const ms = job.health ? 1 : workMs;
     const timer = setTimeout(end, ms);
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -212,6 +212,8 @@
       child: undefined,
       /** True while the script itself stops the process. */
       expected: false,
+      /** Since when the daemon reads the store itself, by its log. */
+      readsStoreSince: undefined,
       log: createWriteStream(join(dir, `node-${i}.log`)),
       start() {
         const {PATH, HOME, LANG} = process.env;
@@ -225,6 +227,12 @@
           },
         );
         node.child.stdout.pipe(node.log, {end: false});
+        node.child.stdout.on('data', bytes => {
+          for (const [, source] of `${bytes}`.matchAll(/"source":"([^"]*)"/g)) {
+            node.readsStoreSince =
+              source === at(inbound) ? performance.now() : undefined;
+          }
+        });
         node.errors = '';
         node.child.stderr.on('data', bytes => (node.errors += bytes));
         node.child.once('exit', (code, signal) => {
@@ -260,6 +268,12 @@
     });
   };
   let version = 7;
+  /** Removes the entry of a backend that leaves; it goes on serving. */
+  fleet.unlist = backend => {
+    backend.gone = true;
+    store.remove(`servers/${backend.id}`);
+    record.write('store', `has removed servers/${backend.id}`);
+  };
   /** Publishes a configuration with these routes. */
   fleet.publish = list => {
     version += 2;
@@ -288,7 +302,10 @@
   fleet.open = true;
   fleet.backends.forEach(beat);
   fleet.publish(routes);
-  const beats = setInterval(() => fleet.backends.forEach(beat), BEAT_MS);
+  const beats = setInterval(
+    () => fleet.backends.filter(({gone}) => !gone).forEach(beat),
+    BEAT_MS,
+  );
   fleet.nodes.forEach(node => node.start());
 
   fleet.waitReady = async timeoutMs => {
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -7,6 +7,7 @@
   const items = new Map();
   const events = [];
   const waiters = new Set();
+  const waiting = new Set();
   let revision = 1;
   const changed = event => {
     events.push(event);
@@ -42,9 +43,12 @@
     const wake = () => find().length > 0 && finish();
     const timer = setTimeout(finish, Number(query.get('wait_ms')));
     waiters.add(wake);
+    const {socket} = res;
+    waiting.add(socket);
     res.on('close', () => {
       clearTimeout(timer);
       waiters.delete(wake);
+      waiting.delete(socket);
     });
     wake();
   };
@@ -75,6 +79,12 @@
   return {
     put,
     remove,
+    /** Closes the connections of the watches that wait; returns their number. */
+    cutWatches() {
+      const sockets = [...waiting];
+      for (const socket of sockets) socket.end();
+      return sockets.length;
+    },
     close() {
       server.closeAllConnections();
       server.close();
