--- a/review/lib/plans.mjs
+++ b/review/lib/plans.mjs
@@ -35,16 +35,3 @@
   service: 'x-dyehouse',
   attempts: 2,
 };
-
-/** Route of price list lookups, which may run again. */
-export const VIEW_ROUTE = {
-  name: 'r-view',
-  host: HOST,
-  path_prefix: '/view/',
-  kind: 'idempotent',
-  timeout: '2000ms',
-  goal: '500ms',
-  priority: 2,
-  service: 'x-catalogue',
-  attempts: 2,
-};
