review: case 2, an answer that was reset passes for a whole one

Half of the backends break off one answer in 20, without a length, by a reset. Node reports the end of the stream, and the part is passed on as a whole answer.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,86 +1,125 @@
-// Some backends write an answer a second time, late. The answer to a health
-// check has no request id, and neither has its copy.
+// A backend breaks off an answer that has no length, with a reset.
 import {randomBytes} from 'node:crypto';
 import {dirname, join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {TROUBLE, runCase} from '../lib/case.mjs';
-import {openClient} from '../lib/client.mjs';
+import {download} from '../lib/client.mjs';
 import {startFleet} from '../lib/fleet.mjs';
-import {
-  BOOKING_BUDGET_MS,
-  BOOKING_ROUTE,
-  HOST,
-  MACHINES,
-  SERVICES,
-} from '../lib/plans.mjs';
+import {formatMessage} from '../lib/http_bytes.mjs';
+import {HOST, MACHINES, SERVICES} from '../lib/plans.mjs';
 
 const DIR = dirname(fileURLToPath(import.meta.url));
 
-/** Bookings, and the time between two of them, ms. */
-const BOOKINGS = 240;
-const INTERVAL_MS = 50;
+/** Downloads, and the time between two of them, ms. */
+const DOWNLOADS = 400;
+const INTERVAL_MS = 12;
 
-/** One answer in so many of a faulty backend is written twice (share 0.03). */
-const ANSWERS_PER_COPY = 34;
+/** Size of a download, bytes (mean of lookbook-get). */
+const BODY_BYTES = 90_000;
 
-/** Statuses that promise that a request has not run and never will. */
-const PROMISES = new Set([408, 421, 429, 503]);
+/** A faulty backend breaks off one answer in so many (share 0.05). */
+const ANSWERS_PER_BREAK = 20;
 
-/** Machines whose backends are faulty: two of the four of the service. */
-const FAULTY = MACHINES.flatMap(({service}, i) =>
-  service === BOOKING_ROUTE.service ? [i] : [],
-).slice(0, 2);
+/** Backends that are faulty: half of those of the service. */
+const FAULTY_SHARE = 0.5;
+
+const BUDGET_MS = 1_500;
+
+const ROUTE = {
+  name: 'r-lookbook',
+  host: HOST,
+  path_prefix: '/lookbook/',
+  kind: 'download',
+  timeout: `${BUDGET_MS}ms`,
+  goal: '400ms',
+  priority: 2,
+  service: 'x-tradedesk',
+  attempts: 2,
+};
+
+/** Creates the answers of one backend; those that break off have no length. */
+function createAnswers(broken, record) {
+  let answers = 0;
+  return ({socket, health, own, requestId}) => {
+    if (health || ++answers % ANSWERS_PER_BREAK !== 0) return false;
+    broken.add(requestId);
+    record.write('backend', `breaks off the answer to ${requestId}`);
+    const headers = {...own, Connection: 'close'};
+    const head = formatMessage('HTTP/1.1 200 OK', headers);
+    const part = Buffer.alloc(BODY_BYTES / 2, 'x');
+    socket.write(Buffer.concat([head, part]), () => socket.resetAndDestroy());
+    return true;
+  };
+}
 
 await runCase(join(DIR, 'record.txt'), async (record, onClose) => {
+  const broken = new Set();
+  // All machines are of the service, so that a share of its backends is whole.
+  const machines = MACHINES.map(({zone}) => ({zone, service: ROUTE.service}));
+  const faultyCount = Math.floor(machines.length * FAULTY_SHARE);
   const plan = {
-    machines: MACHINES,
+    machines,
     services: SERVICES,
-    routes: [BOOKING_ROUTE],
+    routes: [ROUTE],
     backend: i => {
-      if (!FAULTY.includes(i)) return {};
-      return {failing: true, copyEvery: TROUBLE ? ANSWERS_PER_COPY : 0};
+      const isFaulty = TROUBLE && i < faultyCount;
+      const answer = isFaulty ? createAnswers(broken, record) : undefined;
+      return {answer, bodyBytes: BODY_BYTES};
     },
   };
   const fleet = await startFleet(plan, record);
   onClose(fleet.close);
   await fleet.waitReady(30_000);
-  const book = async i => {
-    const id = randomBytes(8).toString('hex');
+  await delay(3_000);
+  const fetchBook = async i => {
     const node = fleet.nodes[i % fleet.nodes.length];
-    const client = await openClient(node.host, node.outbound);
-    record.write(node.name, `client sends POST /book/${i} as ${id}`);
+    const id = randomBytes(8).toString('hex');
     const headers = {
       Host: HOST,
       'X-Request-Id': id,
-      'X-Deadline-Ms': BOOKING_BUDGET_MS,
+      'X-Deadline-Ms': BUDGET_MS,
     };
-    const first = `POST /book/${i} HTTP/1.1`;
-    const answer = await client.send(
-      first,
-      headers,
-      `lot ${i}`,
-      BOOKING_BUDGET_MS,
+    const bytes = formatMessage(`GET /lookbook/${i} HTTP/1.1`, {
+      ...headers,
+      Connection: 'close',
+    });
+    record.write(node.name, `client sends GET /lookbook/${i} as ${id}`);
+    const answer = await download(
+      node.host,
+      node.outbound,
+      bytes,
+      1e9,
+      () => {},
+    );
+    const [status] = answer.head.split('\r\n');
+    const end = answer.clean ? 'in order' : 'by a reset';
+    record.write(
+      node.name,
+      `client gets ${status} for ${id}, ${answer.received} bytes, ended ${end}`,
     );
-    record.write(node.name, `client gets ${answer.status} for ${id}`);
-    client.close();
     return {id, ...answer};
   };
-  const answers = [];
-  for (let i = 0; i < BOOKINGS; i++) {
-    answers.push(book(i));
+  const downloads = [];
+  for (let i = 0; i < DOWNLOADS; i++) {
+    downloads.push(fetchBook(i));
     await delay(INTERVAL_MS);
   }
-  const results = await Promise.all(answers);
-  await delay(1_000);
-  const served = results.filter(({status}) => status === 200).length;
-  record.write('check', `${served} of ${results.length} answered 200`);
-  if (!TROUBLE && served < results.length) {
-    throw new Error('bookings failed without the disruption');
+  const results = await Promise.all(downloads);
+  const whole = results.filter(({received}) => received === BODY_BYTES).length;
+  record.write('check', `${whole} of ${results.length} whole`);
+  record.write('check', `${broken.size} answers broken off by backends`);
+  if (!TROUBLE && whole < results.length) {
+    throw new Error('downloads failed without the disruption');
   }
-  return results.flatMap(({id, status}) => {
-    const times = fleet.runs.filter(({requestId}) => requestId === id).length;
-    if (!PROMISES.has(status) || times === 0) return [];
-    return [`REFUSED: booking ${id} was answered ${status} and has run`];
+  return results.flatMap(({id, head, received, clean}) => {
+    const isSuccess = head.startsWith('HTTP/1.1 200');
+    const hasLength = /^(content-length|transfer-encoding):/im.test(head);
+    if (!isSuccess || received === BODY_BYTES) return [];
+    if (!hasLength && !clean) return [];
+    return [
+      `MIXED: ${id} got 200 and ${received} of ${BODY_BYTES} bytes, ` +
+        'and looks complete',
+    ];
   });
 });
--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -2,8 +2,8 @@
 // queued, one request at a time on a connection, answers with the id and a
 // signature. Options that differ from a plain backend: `failing` (its health
 // check says 503), `copyEvery` (one answer in so many is written a second time,
-// late: while the next request of the connection runs) and `answer` (replaces
-// how an answer is written).
+// late: while the next request of the connection runs), `bodyBytes` (the size of
+// its answers) and `answer` (replaces how an answer is written).
 import {randomBytes} from 'node:crypto';
 import {createServer} from 'node:net';
 import {createParser, formatMessage} from './http_bytes.mjs';
@@ -60,7 +60,8 @@
           'X-Server-Stamp': `${id}.${++stamps}.${randomBytes(4).toString('hex')}`,
         };
     if (options.answer?.({...job, own, requestId})) return;
-    const body = health ? '' : `answer to ${requestId}`;
+    const size = options.bodyBytes ?? 0;
+    const body = health ? '' : `answer to ${requestId}`.padEnd(size, 'x');
     const isDown = health && options.failing;
     const first = `HTTP/1.1 ${isDown ? '503 Service Unavailable' : '200 OK'}`;
     const bytes = formatMessage(first, own, body);
