--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -7,16 +7,16 @@
 import {download} from '../lib/client.mjs';
 import {startFleet} from '../lib/fleet.mjs';
 import {formatMessage} from '../lib/http_bytes.mjs';
-import {HOST, MACHINES, SERVICES} from '../lib/plans.mjs';
+import {HOST, MACHINES} from '../lib/plans.mjs';
 
 const DIR = dirname(fileURLToPath(import.meta.url));
 
-/** Downloads, and the time between two of them, ms. */
-const DOWNLOADS = 400;
-const INTERVAL_MS = 12;
+/** Requests, sent in pairs, and the time between two pairs, ms: about 5 s. */
+const REQUESTS = 1_000;
+const INTERVAL_MS = 9;
 
-/** Size of a download, bytes (mean of lookbook-get). */
-const BODY_BYTES = 90_000;
+/** Size of an answer, bytes (mean of order-status). */
+const BODY_BYTES = 5_000;
 
 /** A faulty backend breaks off one answer in so many (share 0.05). */
 const ANSWERS_PER_BREAK = 20;
@@ -24,16 +24,16 @@
 /** Backends that are faulty: half of those of the service. */
 const FAULTY_SHARE = 0.5;
 
-const BUDGET_MS = 1_500;
+const BUDGET_MS = 800;
 
 const ROUTE = {
-  name: 'r-lookbook',
+  name: 'r-status',
   host: HOST,
-  path_prefix: '/lookbook/',
-  kind: 'download',
+  path_prefix: '/status/',
+  kind: 'idempotent',
   timeout: `${BUDGET_MS}ms`,
-  goal: '400ms',
-  priority: 2,
+  goal: '200ms',
+  priority: 1,
   service: 'x-tradedesk',
   attempts: 2,
 };
@@ -48,7 +48,8 @@
     const headers = {...own, Connection: 'close'};
     const head = formatMessage('HTTP/1.1 200 OK', headers);
     const part = Buffer.alloc(BODY_BYTES / 2, 'x');
-    socket.write(Buffer.concat([head, part]), () => socket.resetAndDestroy());
+    socket.write(Buffer.concat([head, part]));
+    socket.resetAndDestroy();
     return true;
   };
 }
@@ -60,7 +61,7 @@
   const faultyCount = Math.floor(machines.length * FAULTY_SHARE);
   const plan = {
     machines,
-    services: SERVICES,
+    services: {[ROUTE.service]: {slots: 12, workMs: 64}},
     routes: [ROUTE],
     backend: i => {
       const isFaulty = TROUBLE && i < faultyCount;
@@ -72,7 +73,7 @@
   onClose(fleet.close);
   await fleet.waitReady(30_000);
   await delay(3_000);
-  const fetchBook = async i => {
+  const fetchStatus = async i => {
     const node = fleet.nodes[i % fleet.nodes.length];
     const id = randomBytes(8).toString('hex');
     const headers = {
@@ -80,11 +81,11 @@
       'X-Request-Id': id,
       'X-Deadline-Ms': BUDGET_MS,
     };
-    const bytes = formatMessage(`GET /lookbook/${i} HTTP/1.1`, {
+    const bytes = formatMessage(`GET /status/${i} HTTP/1.1`, {
       ...headers,
       Connection: 'close',
     });
-    record.write(node.name, `client sends GET /lookbook/${i} as ${id}`);
+    record.write(node.name, `client sends GET /status/${i} as ${id}`);
     const answer = await download(
       node.host,
       node.outbound,
@@ -100,17 +101,17 @@
     );
     return {id, ...answer};
   };
-  const downloads = [];
-  for (let i = 0; i < DOWNLOADS; i++) {
-    downloads.push(fetchBook(i));
+  const requests = [];
+  for (let i = 0; i < REQUESTS; i += 2) {
+    requests.push(fetchStatus(i), fetchStatus(i + 1));
     await delay(INTERVAL_MS);
   }
-  const results = await Promise.all(downloads);
+  const results = await Promise.all(requests);
   const whole = results.filter(({received}) => received === BODY_BYTES).length;
   record.write('check', `${whole} of ${results.length} whole`);
   record.write('check', `${broken.size} answers broken off by backends`);
   if (!TROUBLE && whole < results.length) {
-    throw new Error('downloads failed without the disruption');
+    throw new Error('requests failed without the disruption');
   }
   return results.flatMap(({id, head, received, clean}) => {
     const isSuccess = head.startsWith('HTTP/1.1 200');
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -16,7 +16,10 @@
   const record = openRecord(recordFile);
   const closers = [];
   let code = 2;
+  let finishing = false;
   const finish = async () => {
+    if (finishing) return;
+    finishing = true;
     for (const close of closers.reverse()) await close();
     record.write('script', `exit code ${code}`);
     await record.close();
@@ -26,6 +29,15 @@
     record.write('script', 'time limit reached');
     void finish();
   }, LIMIT_MS);
+  const fail = err => {
+    record.write('script', `could not run: ${err.stack ?? err}`);
+    void finish();
+  };
+  process.on('uncaughtException', fail);
+  process.on('unhandledRejection', fail);
+  for (const name of ['SIGTERM', 'SIGINT']) {
+    process.on(name, () => fail(new Error(`ended by ${name}`)));
+  }
   try {
     record.write(
       'script',
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -314,7 +314,7 @@
       const states = await Promise.all(fleet.nodes.map(node => node.isReady()));
       if (states.every(Boolean)) return;
       if (performance.now() > endAt) throw new Error('daemons are not ready');
-      await delay(200);
+      await delay(50);
     }
   };
   fleet.close = async () => {
