--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -2,8 +2,9 @@
 // queued, one request at a time on a connection, answers with the id and a
 // signature. Options that differ from a plain backend: `failing` (its health
 // check says 503), `copyEvery` (one answer in so many is written a second time,
-// late: while the next request of the connection runs), `bodyBytes` (the size of
-// its answers) and `answer` (replaces how an answer is written).
+// late: while the next request of the connection runs; for `copyForMs` from the
+// first answer on), `bodyBytes` (the size of its answers) and `answer` (replaces
+// how an answer is written).
 import {randomBytes} from 'node:crypto';
 import {createServer} from 'node:net';
 import {createParser, formatMessage} from './http_bytes.mjs';
@@ -18,6 +19,7 @@
   let busy = 0;
   let stamps = 0;
   let answers = 0;
+  let firstAnswerAt;
   const next = () => {
     while (busy < slots && queue.length > 0) run(queue.shift());
   };
@@ -68,7 +70,10 @@
     const of = `${first} to ${requestId ?? 'a health check'}`;
     socket.write(bytes);
     record.write(id, `answers ${of}`);
-    if (options.copyEvery && answers++ % options.copyEvery === 0) {
+    if (!options.copyEvery) return;
+    firstAnswerAt ??= performance.now();
+    const isDue = answers++ % options.copyEvery === 0;
+    if (isDue && performance.now() - firstAnswerAt < options.copyForMs) {
       socket.lateCopy = {of, bytes};
     }
   };
