Serve nothing on a connection after an error answer

Cause: Node runs the check of overdue heads, a timer, before it reads what arrived during the pause. The handler of clientError answered 408 and ended only the writing side; the parser stayed attached, read the booking and emitted it, and the entry served it.

A connection whose timeout has passed is now judged once its input is read, and one that was answered with an error serves nothing more. The idle timeout of kept connections has the same order of events: a request that had arrived was lost with its connection. `berylbend daemon` had the same handler and uses the same code now.

--- a/__tests__/support/owner_fake.ts
+++ b/__tests__/support/owner_fake.ts
@@ -21,6 +21,7 @@
   type Entry,
   type EntryDeps,
 } from '../../src/daemon/entry.js';
+import {serveCustomers} from '../../src/daemon/customer_server.js';
 import {sendRefusal} from '../../src/daemon/http.js';
 import {findPort, OWN_ADDRESS} from '../../standins/ports.js';
 
@@ -275,8 +276,13 @@
       await closeServer(server);
     },
   };
-  const server = http.createServer(harness.entry);
-  server.on('clientError', harness.entry.handleClientError);
+  const server = http.createServer();
+  const {entry} = harness;
+  serveCustomers(server, {
+    handle: entry,
+    isBusy: entry.isBusy,
+    answerError: entry.answerError,
+  });
   await listen(server, 0);
   const {port} = server.address() as AddressInfo;
   return Object.assign(harness, {port});
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -25,6 +25,7 @@
   type Settings,
 } from '../internal.js';
 import {createAdmin} from './admin.js';
+import {serveCustomers} from './customer_server.js';
 import {createEntry} from './entry.js';
 import {createLinks} from './links.js';
 import {createLog, logEvent} from './log.js';
@@ -141,8 +142,11 @@
   };
 
   const customerServer = createServer({maxHeaderSize: MAX_SERVER_HEADER_BYTES});
-  customerServer.on('request', entry);
-  customerServer.on('clientError', entry.handleClientError);
+  serveCustomers(customerServer, {
+    handle: entry,
+    isBusy: entry.isBusy,
+    answerError: entry.answerError,
+  });
   const peerServer = createServer({maxHeaderSize: MAX_SERVER_HEADER_BYTES});
   peerServer.on('request', (req, res) => {
     if (req.url?.startsWith(FORWARD_PREFIX)) {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -27,6 +27,7 @@
   type Outcome,
   type Version,
 } from '../internal.js';
+import {HEADERS_OVERDUE} from './customer_server.js';
 import {dispatchRequest} from './dispatch.js';
 import {
   beginExchange,
@@ -52,8 +53,10 @@
   (req: IncomingMessage, res: ServerResponse): void;
   /** Refuses new requests; resolves when those in progress have ended. */
   stop(): Promise<void>;
-  /** Responds to malformed HTTP; listener of the server's `clientError`. */
-  handleClientError(err: Error, socket: Duplex): void;
+  /** Answers malformed HTTP and ends the writing side. */
+  answerError(err: Error, socket: Duplex): void;
+  /** True while a request of the connection is in progress. */
+  isBusy(socket: Duplex): boolean;
   /** Returns the number of customer requests in progress. */
   countRunning(): number;
 }
@@ -72,8 +75,9 @@
   };
   return Object.assign(handler, {
     stop: () => stopEntry(state),
-    handleClientError: (err: Error, socket: Duplex) =>
+    answerError: (err: Error, socket: Duplex) =>
       respondToClientError(state, err, socket),
+    isBusy: (socket: Duplex) => (state.requestCounts.get(socket) ?? 0) > 0,
     countRunning: () => state.running.size,
   });
 }
@@ -231,7 +235,7 @@
 
 const CLIENT_ERRORS: Record<string, {outcome: Outcome; status: number}> = {
   HPE_HEADER_OVERFLOW: {outcome: 'tooLarge', status: 431},
-  ERR_HTTP_REQUEST_TIMEOUT: {outcome: 'badRequest', status: 408},
+  [HEADERS_OVERDUE]: {outcome: 'badRequest', status: 408},
 };
 
 function respondToClientError(
@@ -240,8 +244,7 @@
   socket: Duplex,
 ): void {
   count(state.deps.board, 'entry_bad_http');
-  // A response in progress on this connection must not be mixed with another.
-  if (!socket.writable || (state.requestCounts.get(socket) ?? 0) > 0) {
+  if (!socket.writable) {
     socket.destroy();
     return;
   }
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,3 +1,4 @@
+import {HEADERS_OVERDUE, serveCustomers} from '../daemon/customer_server.js';
 import {renderMetrics} from '../daemon/metrics.js';
 import {count, countUnsentBytes, isCold} from '../internal.js';
 import {type SidecarBoard, isSidecarReady, readCopyStatus} from './board.js';
@@ -35,11 +36,13 @@
     connectionsCheckingInterval: HEADER_CHECK_MS,
     requestTimeout: 0,
   });
-  server.on('request', entry);
-  server.on('clientError', (err: Error, socket: Duplex) => {
-    count(board, 'entry_bad_http');
-    if (entry.isBusy(socket)) socket.destroy();
-    else answerClientError(err, socket);
+  serveCustomers(server, {
+    handle: entry,
+    isBusy: entry.isBusy,
+    answerError(err, socket) {
+      count(board, 'entry_bad_http');
+      answerClientError(err, socket);
+    },
   });
   return server;
 }
@@ -131,7 +134,7 @@
 /** Status lines for malformed or incomplete requests, by error code. */
 const CLIENT_ERRORS: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  [HEADERS_OVERDUE]: '408 Request Timeout',
 };
 
 /** Answers a malformed or incomplete request and closes its connection. */
