Leave entries that name no upstream out of the fleet

Cause: an address with padded octets, or octets above 255, passed the pattern of an address. Entries of services that the configuration does not name counted as machines with a daemon: they were ranked as sources of updates, probed and told of crashes, and the unreadable URL ended the process. One with the address of an upstream and a later start hid that upstream.

Addresses are now checked as IPv4 addresses, and the look-up maps of the list leave out services that neither the configuration nor the own settings name. The entries stay in the list, so that a later configuration can name them.

--- a/__tests__/odd_entries.test.ts
+++ b/__tests__/odd_entries.test.ts
@@ -1,7 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {decodeEntry} from '../platform/decode.js';
-import {meshUpstreamSchema, MAX_COLD_MS} from '../src/internal.js';
+import {
+  findByAddress,
+  listHosts,
+  meshUpstreamSchema,
+  MAX_COLD_MS,
+} from '../src/internal.js';
 import {startHarness, until} from './support/sidecar_harness.js';
 
 // Entries that another writer has left among those of the upstreams.
@@ -28,6 +33,10 @@
     status: {...VALID.status, cold_left: `1${'0'.repeat(29)}ms`},
   }),
   portTooLarge: JSON.stringify({...VALID, addr: '127.0.0.1:99999'}),
+  padded: JSON.stringify({...VALID, addr: '010.001.000.008:9'}),
+  paddedPort: JSON.stringify({...VALID, addr: '127.0.0.1:0009'}),
+  octetTooLarge: JSON.stringify({...VALID, addr: '300.1.2.3:9'}),
+  octetMissing: JSON.stringify({...VALID, addr: '127.0.1:9'}),
   portInHex: JSON.stringify({...VALID, addr: '127.0.0.1:0x50'}),
   noJson: '\u0000\ufffd{',
 };
@@ -50,6 +59,38 @@
   t.is((await harness.send(0)).status, 200);
 });
 
+// Entries of a service that the configuration does not name were asked for
+// updates and told of crashes, and one at the address of an upstream hid it.
+test.serial('an entry of an unnamed service names no daemon', async t => {
+  const harness = await startHarness(t, ['dc1', 'dc1']);
+  const {store, sidecars, upstreams} = harness;
+  const info = {...VALID.info, service: 'exporter'};
+  const [{host, port}] = upstreams;
+  const odd = {...VALID, info, born: 2_000_000_000_000};
+  store.put('servers/u9-far', {...odd, addr: '127.0.0.9:9'});
+  store.put('servers/u9', {...odd, addr: `${host}:${port}`});
+  for (const {board} of sidecars) {
+    await until(() => board.list.byId.has('u9'));
+    t.deepEqual([...listHosts(board.list)].sort(), [
+      upstreams[0].host,
+      upstreams[1].host,
+    ]);
+    t.is(findByAddress(board.list, host, port)?.id, 'u0');
+  }
+  for (let i = 0; i < 5; i++) t.is((await harness.send(0)).status, 200);
+  t.true(upstreams[0].runs.length > 0);
+  // Once a configuration names the service, its upstreams count.
+  harness.publish({
+    services: ['s', 'exporter'].map(name => {
+      const fields = {health_path: '/healthz', max_conns: 100};
+      return {name, ...fields, cold: '3s', cold_per_s: 20};
+    }),
+  });
+  const [{board}] = sidecars;
+  await until(() => listHosts(board.list).includes('127.0.0.9'));
+  t.pass();
+});
+
 /** Most characters of a line that reports an odd entry. */
 const MAX_REASON_CHARS = 2_000;
 
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -16,6 +16,8 @@
 }
 
 interface ListIndex {
+  /** Entries of services that the configuration names. */
+  readonly named: readonly ListedUpstream[];
   readonly byService: ReadonlyMap<string, readonly ListedUpstream[]>;
   /** Most recently started upstream at each address (host:port). */
   readonly byAddress: ReadonlyMap<string, ListedUpstream>;
@@ -29,6 +31,8 @@
   version: number;
   /** Look-up maps; undefined after a change until they are needed. */
   index?: ListIndex;
+  /** Services that the configuration names; undefined before the first one. */
+  services?: ReadonlySet<string>;
   readonly takenOut: Set<string>;
   /** True once the full list has been read. */
   complete: boolean;
@@ -120,9 +124,14 @@
   return list.index;
 }
 
-function createIndex({byId}: UpstreamList): ListIndex {
+function createIndex({byId, services}: UpstreamList): ListIndex {
+  // An entry of another service may come from another writer: no daemon runs at
+  // its address, and it must not hide the upstream that does.
+  const named = [...byId.values()].filter(
+    ({service}) => services?.has(service) ?? true,
+  );
   const byAddress = new Map<string, ListedUpstream>();
-  for (const upstream of byId.values()) {
+  for (const upstream of named) {
     const address = formatAddress(upstream);
     const other = byAddress.get(address);
     if (!other || upstream.startedAt > other.startedAt) {
@@ -136,14 +145,28 @@
     if (group) group.push(upstream);
     else byService.set(upstream.service, [upstream]);
   }
-  const hosts = new Set([...byId.values()].map(({host}) => host));
-  return {byService, byAddress, hosts: [...hosts]};
+  const hosts = new Set(named.map(({host}) => host));
+  return {named, byService, byAddress, hosts: [...hosts]};
 }
 
 function formatAddress({host, port}: {host: string; port: number}): string {
   return `${host}:${port}`;
 }
 
+/** Sets the services that the configuration names. */
+export function setServices(
+  list: UpstreamList,
+  services: ReadonlySet<string>,
+): void {
+  list.services = services;
+  markChanged(list);
+}
+
+/** Lists the upstreams of all services that the configuration names. */
+export function listUpstreams(list: UpstreamList): readonly ListedUpstream[] {
+  return getIndex(list).named;
+}
+
 /** Lists the upstreams of a service. */
 export function listService(
   list: UpstreamList,
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -4,6 +4,7 @@
   chooseService,
   creditRequest,
   findRoute,
+  listUpstreams,
 } from '../internal.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyRawHeaders, readHeader} from './header_copy.js';
@@ -57,7 +58,11 @@
   ]);
   exchange.headers.push(names.caller, settings.service);
   exchange.service = chooseService(board.splits, route, board.random);
-  creditRequest(board.resends, exchange.service, board.list.byId.size);
+  creditRequest(
+    board.resends,
+    exchange.service,
+    listUpstreams(board.list).length,
+  );
   return undefined;
 }
 
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -12,6 +12,7 @@
   getOrCreateContact,
   excludeTarget,
   listHostsToProbe,
+  listUpstreams,
   markPeerSeen,
   markPeerSilent,
   parseReport,
@@ -193,7 +194,7 @@
 }
 
 function listUpstreamIds({list}: SidecarBoard, host: string): string[] {
-  return [...list.byId.values()]
+  return listUpstreams(list)
     .filter(upstream => upstream.host === host)
     .map(({id}) => id);
 }
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -12,6 +12,7 @@
   FRESH_MS,
   HEADERS,
   listHosts,
+  listUpstreams,
   mirrorStateSchema,
   OVERLOAD_LAG_MS,
   POLL_MS,
@@ -224,7 +225,7 @@
   settings,
 }: SidecarBoard): Map<string, string[]> {
   const candidates = new Map<string, string[]>();
-  for (const {host, dataCentre, state, expiresAt} of list.byId.values()) {
+  for (const {host, dataCentre, state, expiresAt} of listUpstreams(list)) {
     if (state !== 'live' || expiresAt !== undefined) continue;
     const group = candidates.get(dataCentre) ?? [];
     const address = `${host}:${settings.peerPort}`;
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,6 +1,6 @@
 import {HEADERS_OVERDUE, serveCustomers} from '../daemon/customer_server.js';
 import {renderMetrics} from '../daemon/metrics.js';
-import {count, countUnsentBytes, isCold} from '../internal.js';
+import {count, countUnsentBytes, isCold, listUpstreams} from '../internal.js';
 import {type SidecarBoard, isSidecarReady, readCopyStatus} from './board.js';
 import type {Entry} from './entry.js';
 import {
@@ -110,7 +110,7 @@
   const {ageMs, unansweredMs, lagMs} = readCopyStatus(board);
   return {
     config_version: table?.config.version ?? 0,
-    upstreams_listed: list.byId.size,
+    upstreams_listed: listUpstreams(list).length,
     data_centres_out: list.takenOut.size,
     upstream_slots: limiter.slots,
     upstream_in_flight: limiter.inFlight,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -27,7 +27,11 @@
 import {createSidecarEntry} from './entry.js';
 import {createHttpClient} from './http_client.js';
 import {createPeerHandler, serveControl} from './inbound.js';
-import {createSourceHandlers, applyUpdate} from './store_updates.js';
+import {
+  applyServices,
+  applyUpdate,
+  createSourceHandlers,
+} from './store_updates.js';
 import {createSidecarOwner} from './owner.js';
 import {
   createStateClient,
@@ -188,6 +192,7 @@
     },
     reload(next) {
       board.settings = {...settings, service: next.service};
+      applyServices(board);
       log.write('always', 'reloaded', {service: next.service});
     },
     logReloadFailure(reason) {
--- a/src/sidecar/store_updates.ts
+++ b/src/sidecar/store_updates.ts
@@ -5,6 +5,7 @@
   pruneSplits,
   putUpstream,
   removeUpstream,
+  setServices,
   type FollowerDeps,
   type MeshConfig,
   type StoreUpdate,
@@ -67,10 +68,24 @@
   if (version <= before) return;
   board.table = createRouteTable(config);
   pruneSplits(board.splits, board.table);
+  applyServices(board);
   const routes = config.routes.length;
   board.log.write('always', 'configInForce', {version, before, routes});
 }
 
+/** Applies the services that the configuration names, and that of the local
+ * upstream, to the list. */
+export function applyServices({settings, table, list}: SidecarBoard): void {
+  if (!table) return;
+  const {services, routes} = table.config;
+  const names = new Set([
+    settings.service,
+    ...services.map(({name}) => name),
+    ...routes.flatMap(({parts}) => parts.map(({service}) => service)),
+  ]);
+  setServices(list, names);
+}
+
 function applyUpstream(
   board: SidecarBoard,
   {upstream}: UpdateOf<'upstream'>,
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -68,7 +68,7 @@
 export const meshUpstreamSchema = z.object({
   id: NAME,
   service: NAME,
-  host: z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}$/),
+  host: z.ipv4(),
   port: z.int().min(1).max(65_535),
   dataCentre: NAME,
   slots: z.int().min(1).max(MAX_SLOTS),
