Return a result for requests that cannot be made

The HTTP client threw on an address that it could not parse.

Such a call now ends as `unsent`, as one whose connection fails.

--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -71,6 +71,7 @@
 
 /** Client with connection pools; it sends each request at most once. */
 export interface HttpClient {
+  /** Never throws: a request that cannot be made ends as `unsent`. */
   send(origin: string, request: HttpRequest, now: number): HttpCall;
   close(): Promise<void>;
 }
@@ -111,16 +112,18 @@
     send(origin, request, now) {
       const {method, path, headers, body, isOwnAnswer} = request;
       const call = new Call(socketErrors, isOwnAnswer);
-      getOrCreatePool(origin, now).dispatch(
-        {
-          method: method as Dispatcher.HttpMethod,
-          path,
-          headers,
-          body,
-          idempotent: false,
-        },
-        call,
-      );
+      const options = {
+        method: method as Dispatcher.HttpMethod,
+        path,
+        headers,
+        body,
+        idempotent: false,
+      };
+      try {
+        getOrCreatePool(origin, now).dispatch(options, call);
+      } catch (err) {
+        call.onResponseError(undefined, err as NodeJS.ErrnoException);
+      }
       return call;
     },
     async close() {
