Keep following the store after an unexpected error

The loop now logs `sourceError`, counts it and goes on after the pause between sources.

Evidence: "a source that throws does not end the follower" ends the test process with the unhandled rejection before and passes after.

--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -129,6 +129,8 @@
       onFault: (err, first) => {
         if (first) events.push(err.message);
       },
+
+      onError: err => events.push(err.message),
       onRecovered: () => events.push('recovered'),
       onRegained: () => events.push('regained'),
       onSource: () => undefined,
@@ -405,6 +407,28 @@
   }
 });
 
+// The loop ended with an unhandled rejection, and so did the process.
+test.serial('a source that throws does not end the follower', async t => {
+  const clock = FakeTimers.install();
+  t.teardown(() => clock.uninstall());
+  const store = createFakeStore();
+  store.put('k/a', '1');
+  let broken = false;
+  const rank = (name: string) => {
+    if (broken) throw new Error('odd address');
+    return [name];
+  };
+  const [{known, events}] = startDaemons(t, ['d0'], store, {rank});
+  await clock.tickAsync(WATCH_MS);
+  broken = true;
+  await clock.tickAsync(2 * WATCH_MS);
+  t.true(events.includes('odd address'));
+  store.put('k/b', '1');
+  broken = false;
+  await clock.tickAsync(2 * WATCH_MS);
+  t.deepEqual([...known.keys()], ['k/a', 'k/b']);
+});
+
 test('readers share the daemons of a large data centre', t => {
   const names = Array.from({length: 81}, (_, i) => `10.0.0.${i}:7620`);
   const chosen = names.map(name => rankReaders('dc', names, name)[0]);
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -99,6 +99,8 @@
   readonly onChanges: (changes: KeyChange[]) => void;
   /** A call to the store failed; `first` when the one before succeeded. */
   readonly onFault: (err: Error, first: boolean) => void;
+  /** A source or a handler has thrown; the follower goes on. */
+  readonly onError: (err: Error) => void;
   /** The store answers this daemon again. */
   readonly onRecovered: () => void;
   /** The copy is fresh again after a fault, from any source. */
@@ -168,14 +170,24 @@
 
 async function follow(state: FollowerState): Promise<void> {
   while (!state.stopped) {
-    const source = chooseSource(state);
-    setSource(state, source);
-    if (source === state.deps.peers.own) await watchStore(state);
-    else if (source !== undefined) await followPeer(state, source);
-    else await askPeer(state);
+    try {
+      await followOnce(state);
+    } catch (err) {
+      // Without the loop the daemon would miss all later updates.
+      state.deps.onError(err as Error);
+      await pause(NO_SOURCE_PAUSE_MS);
+    }
   }
 }
 
+async function followOnce(state: FollowerState): Promise<void> {
+  const source = chooseSource(state);
+  setSource(state, source);
+  if (source === state.deps.peers.own) await watchStore(state);
+  else if (source !== undefined) await followPeer(state, source);
+  else await askPeer(state);
+}
+
 function isAvoided({avoided, deps}: FollowerState, address: string): boolean {
   const entry = avoided.get(address);
   return entry !== undefined && deps.now() < entry.until;
@@ -263,7 +275,13 @@
 
 async function askUntilKnown(state: FollowerState): Promise<void> {
   const {mirror} = state.deps;
-  while (!state.stopped && mirror.revision === undefined) await askPeer(state);
+  try {
+    while (!state.stopped && mirror.revision === undefined) {
+      await askPeer(state);
+    }
+  } catch (err) {
+    state.deps.onError(err as Error);
+  }
 }
 
 function avoid(
--- a/src/sidecar/store_updates.ts
+++ b/src/sidecar/store_updates.ts
@@ -106,7 +106,10 @@
 /** Creates the handlers for faults and changes of the update source. */
 export function createSourceHandlers(
   board: SidecarBoard,
-): Pick<FollowerDeps, 'onFault' | 'onRecovered' | 'onRegained' | 'onSource'> {
+): Pick<
+  FollowerDeps,
+  'onFault' | 'onError' | 'onRecovered' | 'onRegained' | 'onSource'
+> {
   const {list, log, now} = board;
   return {
     onFault(err, first) {
@@ -115,6 +118,10 @@
       if (first) log.write('always', 'sourceLost', {reason: err.message});
       answerPendingPolls(board);
     },
+    onError(err) {
+      count(board, 'source_errors');
+      log.write('notable', 'sourceError', {error: err.message});
+    },
     onRecovered() {
       count(board, 'source_recovered');
       log.write('always', 'sourceRecovered', {});
