Keep missing upstreams only after an outage that can expire them

Cause: any failed call to the store, and the moment at which the copy was fresh again, kept entries that disappear for 2.2 s. That time is meant for entries of live upstreams that expire in an outage, and is longer than the time that a leaving upstream goes on serving.

The follower now says for how long the store was unavailable, which takes two failed calls in a row or one without an answer. Entries are kept only after two heartbeat intervals of that: an entry outlives three, and its last heartbeat is at most one interval old. The interval is read from the settings.

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -205,6 +205,32 @@
   t.is(harness.upstreams[0].runs.length, 0);
 });
 
+/** Failed calls to the store in a row, and whether an entry that goes then may
+ * have expired. The heartbeat interval makes both outages long enough for it. */
+const OUTAGES = {
+  'one cut watch': {faults: 1, heartbeatMs: 50, kept: false},
+  'a short outage': {faults: 2, heartbeatMs: 60_000, kept: false},
+  'a long outage': {faults: 2, heartbeatMs: 50, kept: true},
+};
+
+for (const [kind, {faults, heartbeatMs, kept}] of Object.entries(OUTAGES)) {
+  // After one cut watch a removed upstream got bookings until it exited. Entries
+  // that expired in a real outage must be kept until they are back.
+  test.serial(`an entry that goes after ${kind}`, async t => {
+    const harness = await startHarness(t, ['dc1'], {heartbeatMs});
+    const [{board}] = harness.sidecars;
+    harness.store.down = true;
+    await until(() => board.counters.get('source_faults') === faults);
+    harness.store.down = false;
+    await until(() => board.counters.get('source_recovered'));
+    harness.store.remove('servers/u0');
+    await until(() => !board.mirror.items.has('servers/u0'));
+    t.is(board.list.byId.has('u0'), kept);
+    await until(() => !board.list.byId.has('u0'));
+    t.is((await harness.send(0)).status, 503);
+  });
+}
+
 test.serial('a request is refused when its deadline passes', async t => {
   const harness = await startHarness(t, ['dc1']);
   harness.upstreams[0].handle = () => {};
--- a/__tests__/support/sidecar_harness.ts
+++ b/__tests__/support/sidecar_harness.ts
@@ -131,7 +131,7 @@
 export async function startHarness(
   t: ExecutionContext,
   dataCentres: readonly string[],
-  options: {linkBytesPerS?: number} = {},
+  options: {linkBytesPerS?: number; heartbeatMs?: number} = {},
 ): Promise<SidecarHarness> {
   const store = createFakeStore();
   const lines: string[] = [];
@@ -205,6 +205,7 @@
       memoryMb: 128,
       linkBytesPerS: options.linkBytesPerS ?? 1e9,
       graceMs: 2_000,
+      heartbeatMs: options.heartbeatMs ?? 1_500,
       resends: {ratio: 0.2, slack: 50, windowMs: 10_000},
     };
     const sidecar = await startSidecar({
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -61,6 +61,10 @@
  */
 const PEER_FALLBACK_MS = 250;
 
+/** Time beyond its wait after which a call that fails got no answer, ms; an open
+ * connection may be cut at any moment before. */
+const LATE_MS = 250;
+
 /** Pause while neither the store nor a ranked daemon answers, ms. */
 const NO_SOURCE_PAUSE_MS = 300;
 
@@ -97,14 +101,16 @@
   readonly peers: StorePeers;
   /** Handles the changes of one call, which may be none. */
   readonly onChanges: (changes: KeyChange[]) => void;
-  /** A call to the store failed; `first` when the one before succeeded. */
-  readonly onFault: (err: Error, first: boolean) => void;
+  /** A call to the store failed; `first` when the one before succeeded. The store
+   * has been unavailable for `outageMs`. */
+  readonly onFault: (err: Error, first: boolean, outageMs: number) => void;
   /** A source or a handler has thrown; the follower goes on. */
   readonly onError: (err: Error) => void;
   /** The store answers this daemon again. */
   readonly onRecovered: () => void;
-  /** The copy is fresh again after a fault, from any source. */
-  readonly onRegained: () => void;
+  /** The copy is fresh again after a fault, from any source; the store was
+   * unavailable for `outageMs`. */
+  readonly onRegained: (outageMs: number) => void;
   /** The source of updates has changed. */
   readonly onSource: (source: string) => void;
   readonly random: Random;
@@ -136,6 +142,12 @@
   faulty: boolean;
   stale: boolean;
   confirmedAt: number;
+  /** Monotonic time at which the copy last matched the store, however old it was
+   * when it was adopted, ms; undefined without a copy. */
+  matchedAt: number | undefined;
+  /** True when the faults since then show that the store is unavailable; one cut
+   * connection does not. */
+  unavailable: boolean;
   answeredAt: number;
   /** True after a pause, which shortens the next watch. */
   paused: boolean;
@@ -153,6 +165,8 @@
     faulty: false,
     stale: false,
     confirmedAt: -Infinity,
+    matchedAt: undefined,
+    unavailable: false,
     answeredAt: -Infinity,
     paused: false,
     source: '',
@@ -212,10 +226,25 @@
 
 function markFresh(state: FollowerState, ageMs: number): void {
   const {deps} = state;
+  const outageMs = readOutage(state);
   state.confirmedAt = Math.max(state.confirmedAt, deps.now() - ageMs);
+  markMatched(state, ageMs);
+  state.unavailable = false;
   if (!state.stale) return;
   state.stale = false;
-  deps.onRegained();
+  deps.onRegained(outageMs);
+}
+
+function markMatched(state: FollowerState, ageMs: number): void {
+  const at = state.deps.now() - ageMs;
+  state.matchedAt = Math.max(state.matchedAt ?? at, at);
+}
+
+/** Time for which the store has been unavailable since the copy matched it, ms;
+ * 0 without a copy. */
+function readOutage(state: FollowerState): number {
+  const {deps, matchedAt, unavailable} = state;
+  return unavailable && matchedAt !== undefined ? deps.now() - matchedAt : 0;
 }
 
 /** Reads the store as a reader does; pauses when a watch has ended early. */
@@ -239,6 +268,7 @@
 ): Promise<boolean> {
   const {deps} = state;
   const {own} = deps.peers;
+  const startedAt = deps.now();
   const peerFallback = setTimeout(
     () => void askUntilKnown(state),
     PEER_FALLBACK_MS,
@@ -265,7 +295,9 @@
     // returns only the latest one.
     state.needsFullRead = true;
     state.stale = true;
-    deps.onFault(err as Error, !state.faulty);
+    const elapsedMs = deps.now() - startedAt;
+    state.unavailable ||= state.faulty || elapsedMs > waitMs + LATE_MS;
+    deps.onFault(err as Error, !state.faulty, readOutage(state));
     state.faulty = true;
     return false;
   } finally {
@@ -341,6 +373,7 @@
   state.needsAllItems = peerState !== undefined && changes === undefined;
   if (state.needsAllItems) return fresh;
   if (fresh) markFresh(state, ageMs);
+  else if (changes) markMatched(state, ageMs);
   if (changes) state.needsFullRead = false;
   // Others may wait for the news that nothing has changed.
   if (changes || fresh) deps.onChanges(changes ?? []);
--- a/src/sidecar/store_updates.ts
+++ b/src/sidecar/store_updates.ts
@@ -103,6 +103,10 @@
   });
 }
 
+/** Heartbeats that an upstream misses before its entry can expire, at least: the
+ * entry outlives three intervals, and the last heartbeat was sent within one. */
+const EXPIRY_HEARTBEATS = 2;
+
 /** Creates the handlers for faults and changes of the update source. */
 export function createSourceHandlers(
   board: SidecarBoard,
@@ -110,10 +114,16 @@
   FollowerDeps,
   'onFault' | 'onError' | 'onRecovered' | 'onRegained' | 'onSource'
 > {
-  const {list, log, now} = board;
+  const {list, log, now, settings} = board;
+  // Entries of live upstreams expire in a long outage only; an entry that goes
+  // after a shorter one is that of an upstream that leaves.
+  const recordOutage = (outageMs: number): void => {
+    if (outageMs < EXPIRY_HEARTBEATS * settings.heartbeatMs) return;
+    recordListFault(list, now());
+  };
   return {
-    onFault(err, first) {
-      recordListFault(list, now());
+    onFault(err, first, outageMs) {
+      recordOutage(outageMs);
       count(board, 'source_faults');
       if (first) log.write('always', 'sourceLost', {reason: err.message});
       answerPendingPolls(board);
@@ -127,7 +137,7 @@
       log.write('always', 'sourceRecovered', {});
     },
     // The platform has yet to restore list entries that expired in the outage.
-    onRegained: () => recordListFault(list, now()),
+    onRegained: recordOutage,
     onSource(source) {
       const ageMs = board.readMirrorAge();
       log.write('always', 'sourceChosen', {
--- a/src/types/mesh.ts
+++ b/src/types/mesh.ts
@@ -82,6 +82,9 @@
 /** Link rate assumed when the settings state none (10 Gbit/s). */
 const DEFAULT_LINK_BYTES_PER_S = 1.25e9;
 
+/** Heartbeat interval assumed when the settings state none, ms. */
+const DEFAULT_HEARTBEAT_MS = 1_500;
+
 /** Schema of the settings of a sidecar daemon. */
 export const sidecarSettingsSchema = z.object({
   id: NAME,
@@ -107,6 +110,8 @@
   linkBytesPerS: z.number().positive().default(DEFAULT_LINK_BYTES_PER_S),
   /** Time between SIGTERM and the forced end, ms. */
   graceMs: z.number().positive(),
+  /** Interval at which upstreams renew their list entries, ms. */
+  heartbeatMs: z.number().positive().default(DEFAULT_HEARTBEAT_MS),
   /** Bounds on resends of all daemons together, per service and window. */
   resends: z.object({
     ratio: z.number().min(0),
