Close connections on a stop only when nothing is in progress

In planned stops, customers lost answers that upstreams had given. Reproduced with real daemons, bodies of 12 MB and customers that read 4 MB/s: two of four answers were cut 2.5 s after SIGTERM, in order and without an error.

Cause: close and closeIdleConnections of Node's HTTP server take a connection for idle once res.end was called, though its bytes are still in the process. They also reset a kept connection whose next request had arrived unread.

The daemon now stops listening with the close of net.Server, and closes the connections on which no request is in progress and no part of one was read, once their input is read.

Evidence: the two tests of stop.test.ts fail before (3.9 of 12 MB; ECONNRESET) and pass after.

--- /dev/null
+++ b/__tests__/stop.test.ts
@@ -0,0 +1,99 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import test from 'ava';
+import {answerOk, startHarness, until} from './support/sidecar_harness.js';
+
+/** More than the buffers of a connection hold. */
+const LARGE_BYTES = 12_000_000;
+
+function formatRequest(id: string, headers: readonly string[] = []): string {
+  const lines = [
+    'GET /slow/1 HTTP/1.1',
+    'host: shop.example',
+    `x-request-id: ${id}`,
+    'x-deadline-ms: 5000',
+    ...headers,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
+}
+
+/** Counts the bytes after the head until the connection ends. */
+async function countBody(socket: Socket): Promise<number> {
+  let head = '';
+  let bytes = 0;
+  socket.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (head.includes('\r\n\r\n')) return;
+    head += chunk.toString('latin1');
+    const end = head.indexOf('\r\n\r\n');
+    if (end >= 0) bytes -= end + 4;
+  });
+  await once(socket, 'close');
+  return bytes;
+}
+
+async function startDaemon(t: Parameters<typeof startHarness>[0]) {
+  const harness = await startHarness(t, ['dc1']);
+  const [sidecar] = harness.sidecars;
+  const {host, customerPort} = sidecar.board.settings;
+  const open = async () => {
+    const socket = connect(customerPort, host);
+    t.teardown(() => socket.destroy());
+    await once(socket, 'connect');
+    return socket;
+  };
+  return {harness, sidecar, open};
+}
+
+// At 2.5 s after SIGTERM the HTTP server closed connections whose answer was
+// ended and still being written: slow customers got a part of it.
+test.serial('a planned stop cuts no answer to a slow customer', async t => {
+  const {harness, sidecar, open} = await startDaemon(t);
+  const body = 'x'.repeat(LARGE_BYTES);
+  harness.upstreams[0].handle = (req, res) => answerOk(req, res, body);
+  const socket = await open();
+  socket.write(formatRequest('a', ['connection: close']));
+  await once(socket, 'readable');
+  const stopped = sidecar.stop();
+  await until(() => sidecar.board.closed);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.is(await countBody(socket), LARGE_BYTES);
+  await stopped;
+});
+
+// A request that had arrived on a kept connection was lost when the stopping
+// daemon closed it as idle.
+test.serial('a planned stop answers what has arrived', async t => {
+  const {sidecar, open} = await startDaemon(t);
+  const [kept, partial, unused] = [await open(), await open(), await open()];
+  kept.write(formatRequest('a'));
+  await once(kept, 'data');
+  partial.write(formatRequest('b').slice(0, 40));
+  await new Promise(resolve => setTimeout(resolve, 50));
+  const received: string[] = ['', ''];
+  for (const [i, socket] of [kept, partial].entries()) {
+    socket.setEncoding('utf8');
+    socket.on('data', (chunk: string) => (received[i] += chunk));
+  }
+  const closed = Promise.all([
+    once(kept, 'close'),
+    once(partial, 'close'),
+    once(unused, 'close'),
+  ]);
+  const stopped = sidecar.stop();
+  // In the turn of the event loop in which the idle connections are closed.
+  const {board} = sidecar;
+  let isClosed = false;
+  Object.defineProperty(board, 'closed', {
+    get: () => isClosed,
+    set(value: boolean) {
+      isClosed = value;
+      kept.write(formatRequest('c'));
+      partial.write(formatRequest('b').slice(40));
+    },
+  });
+  unused.resume();
+  await closed;
+  for (const text of received) t.true(text.startsWith('HTTP/1.1 503'), text);
+  await stopped;
+});
--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -1,4 +1,5 @@
 import type {RequestListener, Server} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 /** Code of the error for a connection whose headers are overdue. */
@@ -17,6 +18,12 @@
   readonly answerError: (err: Error, socket: Duplex) => void;
 }
 
+/** Connections of customers. */
+export interface CustomerConnections {
+  /** Closes the connections on which nothing is in progress. */
+  closeIdle(): void;
+}
+
 /**
  * Serves customers so that nothing runs after an error answer, which promises
  * that. Node's parser stays attached to the connection and goes on.
@@ -24,7 +31,9 @@
 export function serveCustomers(
   server: Server,
   {handle, isBusy, answerError}: CustomerHandlers,
-): void {
+): CustomerConnections {
+  /** Open connections, with the bytes read up to the end of the last request. */
+  const readBytes = new Map<Socket, number>();
   /** Connections whose timeout has passed and whose input is being read. */
   const overdue = new WeakSet<Duplex>();
   /** Connections that were answered with an error. */
@@ -47,9 +56,20 @@
     const timer = setTimeout(() => socket.destroy(), REJECTED_LINGER_MS);
     socket.once('close', () => clearTimeout(timer));
   };
+  const isIdle = (socket: Socket): boolean =>
+    !isBusy(socket) && socket.bytesRead === readBytes.get(socket);
+  server.on('connection', (socket: Socket) => {
+    readBytes.set(socket, 0);
+    socket.once('close', () => readBytes.delete(socket));
+  });
   server.on('request', (req, res) => {
-    overdue.delete(req.socket);
-    if (!rejected.has(req.socket)) handle(req, res);
+    const {socket} = req;
+    overdue.delete(socket);
+    if (rejected.has(socket)) return;
+    handle(req, res);
+    res.once('close', () => {
+      if (!socket.destroyed) readBytes.set(socket, socket.bytesRead);
+    });
   });
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
     if (err.code !== HEADERS_OVERDUE) reject(err, socket);
@@ -61,4 +81,25 @@
   server.on('timeout', socket => {
     whenInputIsRead(socket, () => socket.destroy());
   });
+  return {
+    closeIdle() {
+      for (const socket of readBytes.keys()) {
+        if (!isIdle(socket)) continue;
+        whenInputIsRead(socket, () => {
+          if (isIdle(socket)) socket.destroy();
+        });
+      }
+    },
+  };
+}
+
+/**
+ * Stops listening; resolves when all connections have ended. `close` of an HTTP
+ * server would also close connections whose answer has been ended but is still
+ * being written.
+ */
+export function stopListening(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    NetServer.prototype.close.call(server, () => resolve());
+  });
 }
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,4 +1,8 @@
-import {HEADERS_OVERDUE, serveCustomers} from '../daemon/customer_server.js';
+import {
+  type CustomerConnections,
+  HEADERS_OVERDUE,
+  serveCustomers,
+} from '../daemon/customer_server.js';
 import {renderMetrics} from '../daemon/metrics.js';
 import {count, countUnsentBytes, isCold, listUpstreams} from '../internal.js';
 import {type SidecarBoard, isSidecarReady, readCopyStatus} from './board.js';
@@ -26,17 +30,22 @@
 /** Interval of the check for connections whose headers are overdue, ms. */
 const HEADER_CHECK_MS = 500;
 
+/** Server for customers and its connections. */
+export interface CustomerServer extends CustomerConnections {
+  readonly server: Server;
+}
+
 /** Creates the server for customers. */
 export function createCustomerServer(
   board: SidecarBoard,
   entry: Entry,
-): Server {
+): CustomerServer {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     connectionsCheckingInterval: HEADER_CHECK_MS,
     requestTimeout: 0,
   });
-  serveCustomers(server, {
+  const connections = serveCustomers(server, {
     handle: entry,
     isBusy: entry.isBusy,
     answerError(err, socket) {
@@ -44,7 +53,7 @@
       answerClientError(err, socket);
     },
   });
-  return server;
+  return {server, ...connections};
 }
 
 /** Creates the server for other daemons. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -15,6 +15,7 @@
   pruneTargets,
   startStoreFollower,
 } from '../internal.js';
+import {stopListening} from '../daemon/customer_server.js';
 import {recordLatency} from '../daemon/metrics.js';
 import {pruneAnnouncements} from './announcements.js';
 import {
@@ -124,7 +125,8 @@
     createCrashReporter(board, crashClient),
   );
   const entry = createSidecarEntry(board, owner);
-  const customerServer = createCustomerServer(board, entry);
+  const customers = createCustomerServer(board, entry);
+  const customerServer = customers.server;
   const peerServer = createPeerServer(createPeerHandler(board, owner));
   const controlServer = createControlServer(board, (req, res) =>
     serveControl(board, owner, req, res),
@@ -204,8 +206,8 @@
       log.write('always', 'stopping', {running: entry.countRunning()});
       await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
       board.closed = true;
-      customerServer.close();
-      customerServer.closeIdleConnections();
+      void stopListening(customerServer);
+      customers.closeIdle();
       const {messages} = board.pacer;
       const isBusy = () =>
         entry.countRunning() + owner.countActive() + messages.size > 0;
