Wait for replies to other daemons before a stopping process ends

A customer elsewhere got 502 or a broken connection when the owner of its upstream ended in a planned stop while its reply was being written.

Cause: the stop waited for requests of the owner, which end when their result is known, and for large replies that are paced. A reply below the size for pacing is handed to its connection at once; what the connection had not taken was lost at the exit.

The stop now waits for the responses of the port for other daemons to close.

Evidence: "a planned stop cuts no reply to another daemon" fails without the count (the stop ends while the reply is unread) and passes with it.

--- a/__tests__/stop.test.ts
+++ b/__tests__/stop.test.ts
@@ -61,6 +61,28 @@
   await stopped;
 });
 
+// An owner that had handed its answer to the connection ended before all of it
+// had left, and the customer of the other daemon got 502.
+test.serial('a planned stop cuts no reply to another daemon', async t => {
+  const harness = await startHarness(t, ['dc1'], {linkBytesPerS: 1e12});
+  const [sidecar] = harness.sidecars;
+  const body = 'x'.repeat(LARGE_BYTES);
+  harness.upstreams[0].handle = (req, res) => answerOk(req, res, body);
+  const {host, peerPort} = sidecar.board.settings;
+  const socket = connect(peerPort, host);
+  t.teardown(() => socket.destroy());
+  const terms = 'berylbend-terms: u0,slow,0,2000,5000,f';
+  socket.write(formatRequest('a', [terms, 'connection: close']));
+  await once(socket, 'readable');
+  let ended = false;
+  const stopped = sidecar.stop().then(() => (ended = true));
+  await until(() => sidecar.board.closed);
+  await new Promise(resolve => setTimeout(resolve, 200));
+  t.false(ended);
+  t.is(await countBody(socket), LARGE_BYTES);
+  await stopped;
+});
+
 // A request that had arrived on a kept connection was lost when the stopping
 // daemon closed it as idle.
 test.serial('a planned stop answers what has arrived', async t => {
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -14,13 +14,23 @@
 import {ALIVE_PATH} from './peer_probe.js';
 import {serveState, STATE_PATH} from './peer_state.js';
 
+/** Request handler of the port for other daemons. */
+export interface PeerHandler {
+  (req: IncomingMessage, res: ServerResponse): void;
+  /** Requests whose reply is awaited or being written. */
+  countRunning(): number;
+}
+
 /** Creates the request handler of the port for other daemons. */
 export function createPeerHandler(
   board: SidecarBoard,
   owner: Owner,
-): (req: IncomingMessage, res: ServerResponse) => void {
+): PeerHandler {
   const endReply = createReplyWriter(board);
-  return (req, res) => {
+  let running = 0;
+  const handle = (req: IncomingMessage, res: ServerResponse): void => {
+    running++;
+    res.once('close', () => running--);
     const handled =
       req.headers[HEADERS.terms] === undefined
         ? serveControl(board, owner, req, res)
@@ -32,6 +42,7 @@
       res.destroy();
     });
   };
+  return Object.assign(handle, {countRunning: () => running});
 }
 
 async function serveForward(
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -127,7 +127,8 @@
   const entry = createSidecarEntry(board, owner);
   const customers = createCustomerServer(board, entry);
   const customerServer = customers.server;
-  const peerServer = createPeerServer(createPeerHandler(board, owner));
+  const peerHandler = createPeerHandler(board, owner);
+  const peerServer = createPeerServer(peerHandler);
   const controlServer = createControlServer(board, (req, res) =>
     serveControl(board, owner, req, res),
   );
@@ -208,9 +209,9 @@
       board.closed = true;
       void stopListening(customerServer);
       customers.closeIdle();
-      const {messages} = board.pacer;
+      const counts = [entry.countRunning, owner.countActive];
       const isBusy = () =>
-        entry.countRunning() + owner.countActive() + messages.size > 0;
+        [...counts, peerHandler.countRunning].some(count => count() > 0);
       while (isBusy() && now() < stopAt) await delay(STOP_POLL_MS);
       const running = entry.countRunning();
       log.write('always', 'stopped', {running});
