Announce the close on every answer given during a stop

A customer whose request began before SIGTERM got an answer without `Connection: close`, kept the connection and could send its next request just as the stopping daemon closed it.

Cause: the header was set when a request began. It is now set when its answer is written.

Evidence: "an answer during a stop announces the close" fails before and passes after.

--- a/__tests__/stop.test.ts
+++ b/__tests__/stop.test.ts
@@ -61,6 +61,24 @@
   await stopped;
 });
 
+// Customers sent their next request on a connection that was about to close.
+test.serial('an answer during a stop announces the close', async t => {
+  const {harness, sidecar, open} = await startDaemon(t);
+  const [upstream] = harness.upstreams;
+  let answer = () => {};
+  upstream.handle = (req, res) => (answer = () => answerOk(req, res));
+  const socket = await open();
+  let received = '';
+  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+  socket.write(formatRequest('a'));
+  await until(() => upstream.runs.length === 1);
+  const stopped = sidecar.stop();
+  answer();
+  await once(socket, 'close');
+  t.regex(received, /^HTTP\/1.1 200 .*connection: close\r\n/is);
+  await stopped;
+});
+
 // An owner that had handed its answer to the connection ended before all of it
 // had left, and the customer of the other daemon got 502.
 test.serial('a planned stop cuts no reply to another daemon', async t => {
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -107,7 +107,6 @@
   const {socket} = req;
   state.busySockets.add(socket);
   count(board, 'entry_requests');
-  if (board.stopping) res.setHeader('connection', 'close');
   res.once('close', () => {
     state.running--;
     state.busySockets.delete(socket);
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -53,6 +53,7 @@
   else if (headers['content-length'] !== undefined) {
     copy['content-length'] = headers['content-length'];
   }
+  announceClose(state, exchange);
   res.writeHead(status, copy);
   res.end(body);
   count(state.board, 'entry_answered');
@@ -80,11 +81,17 @@
   logRequest(state, exchange, outcome, status);
   // An unread body would be parsed as the next request.
   if (!req.complete) headers.connection = 'close';
+  announceClose(state, exchange);
   res.writeHead(status, headers);
   res.end();
   if (!req.complete) req.resume();
 }
 
+/** Tells a customer of a stopping daemon not to reuse the connection. */
+function announceClose({board}: EntryState, {res}: Exchange): void {
+  if (board.stopping) res.setHeader('connection', 'close');
+}
+
 /** Value of `retry-after`: seconds with three decimals. */
 function computeRetryAfter(board: SidecarBoard, exchange: Exchange): string {
   const {retryAfterMs, customerDeadlineAt} = exchange;
