Handle signals from the first moment of a start

A daemon that got SIGHUP within 120 ms of its start ended, with the requests of its machine.

Cause: the handler was registered after the settings were read and the ports were open.

Evidence: two tests of bundle.test.ts (SIGHUP while the bundle or the settings are read) end by the signal before and start after.

--- a/__tests__/bundle.test.ts
+++ b/__tests__/bundle.test.ts
@@ -1,4 +1,5 @@
-import {execFileSync} from 'node:child_process';
+import {execFileSync, spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -19,7 +20,7 @@
 
 // V8 ignores a code cache that was made under other flags, and each start then
 // compiles the whole program again.
-test('the deployed program runs from its code cache', t => {
+test.serial('the deployed program runs from its code cache', t => {
   const flags = readFlags('run');
   t.true(flags.length > 0);
   t.deepEqual(readFlags('build'), flags);
@@ -38,3 +39,47 @@
   writeFileSync(file, JSON.stringify(settings));
   t.regex(run(...flags, 'target/main.cjs', 'check', file), /valid; d0 in z1/);
 });
+
+/** Files whose reading marks two moments of a start. */
+const READ_FILES = {
+  'loads its bundle': 'berylbend.cjs',
+  'reads its settings': 'node.json',
+};
+
+for (const [moment, name] of Object.entries(READ_FILES)) {
+  // A reload during the start ended the process: there was no handler yet.
+  test.serial(`a daemon that ${moment} survives SIGHUP`, async t => {
+    const dir = mkdtempSync(join(tmpdir(), 'berylbend-hup-'));
+    t.teardown(() => rmSync(dir, {recursive: true}));
+    // An address on which no other test listens.
+    const host = `127.78.${(process.pid >> 1) & 127}.1`;
+    const settings = createDaemonSettings('d0', host, 'z1', 's', []);
+    const file = join(dir, 'node.json');
+    writeFileSync(file, JSON.stringify(settings));
+    const preload = join(dir, 'preload.cjs');
+    writeFileSync(
+      preload,
+      `const fs = require('node:fs');
+      const {readFileSync} = fs;
+      fs.readFileSync = (path, ...args) => {
+        if (String(path).endsWith('${name}')) process.kill(process.pid, 'SIGHUP');
+        return readFileSync(path, ...args);
+      };
+      require('node:module').syncBuiltinESMExports();`,
+    );
+    const args = [...readFlags('run'), '-r', preload, 'target/main.cjs'];
+    const env = {...process.env, BERYLBEND_NODE_FILE: file};
+    const child = spawn(process.execPath, args, {cwd: ROOT, env});
+    t.teardown(() => child.kill('SIGKILL'));
+    let text = '';
+    child.stdout.on('data', (chunk: Buffer) => (text += chunk.toString()));
+    const exited = once(child, 'exit');
+    const started = new Promise<void>(resolve => {
+      child.stdout.on('data', () => {
+        if (text.includes('"decision":"started"')) resolve();
+      });
+    });
+    const end = await Promise.race([exited, started]);
+    t.is(end, undefined, `ended: ${String(end)}`);
+  });
+}
--- a/deploy/main.cjs
+++ b/deploy/main.cjs
@@ -1,5 +1,9 @@
 'use strict';
 
+// Without a handler SIGHUP ends the process, and loading the bundle takes most
+// of a start. The settings file is read later, so nothing is missed.
+if (require.main === module) process.on('SIGHUP', () => {});
+
 // Runs the bundle from its code cache: compiling it takes longer than the rest
 // of a start. V8 ignores a cache of another version, architecture or set of
 // flags.
