Bound the memory of answers that are being received

Reported by another operator: a backend sent bytes without end, and the machine that had called it ran out of memory with the requests of its other clients.

Here each answer was bounded (33 MB) and heads were (16 KB, by undici), but not their sum: twelve answers without end at once could take 400 MB of the 350 MB of a daemon.

The clients for the upstream and for other daemons share a budget of 0.35 of the process memory. Above it the largest answer is broken off, so that small ones do not fail for it. Gauge `answer_bytes`.

Evidence: with six answers without end, in three forms, the three new tests use more than their limit of 4 MB when nothing is dropped, and stay within it now; a small answer beside them arrives. The test of a head without end passed before.

--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -32,9 +32,13 @@
   PROBE_BURST,
   findByAddress,
 } from '../internal.js';
+import {type AnswerBudget, createAnswerBudget} from './answer_budget.js';
 import type {DecisionLog} from './decision_log.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
 
+/** Share of the process memory that answers may use while they are received. */
+const ANSWER_MEMORY_SHARE = 0.35;
+
 /** A long poll of a peer that waits for a change. */
 export interface PendingPoll {
   /** Monotonic arrival time, ms. */
@@ -76,6 +80,8 @@
   readonly suspects: Suspects;
   readonly limiter: ConcurrencyLimiter;
   readonly pacer: LinkPacer;
+  /** Memory for answers of the local upstream and of other daemons. */
+  readonly answers: AnswerBudget;
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
   readonly announcedLeaving: Map<string, number>;
@@ -127,6 +133,9 @@
     splits: new Map(),
     suspects: createSuspects(),
     limiter: createLimiter(deps.now()),
+    answers: createAnswerBudget(
+      deps.settings.memoryMb * 1_048_576 * ANSWER_MEMORY_SHARE,
+    ),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
     overdueLogged: false,
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -44,6 +44,7 @@
       connections: MAX_PEER_CONNECTIONS,
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
       keepAliveMs: PEER_KEEP_ALIVE_MS,
+      budget: board.answers,
     }),
     running: 0,
     busySockets: new WeakSet(),
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -1,5 +1,12 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {
+  type AnswerBudget,
+  type PendingAnswer,
+  chargeAnswer,
+  createAnswerBudget,
+  releaseAnswer,
+} from './answer_budget.js';
 
 /** Maximum size of a buffered answer, bytes; larger ones count as broken. */
 export const MAX_ANSWER_BYTES = 33_554_432;
@@ -67,6 +74,8 @@
   readonly connectTimeoutMs: number;
   /** Idle time after which a connection is closed, ms. */
   readonly keepAliveMs: number;
+  /** Memory for answers; by default that of one answer of the largest size. */
+  readonly budget?: AnswerBudget;
 }
 
 /** Client with connection pools; it sends each request at most once. */
@@ -79,6 +88,7 @@
 /** Creates a client without connections. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
   const reset: ResetState = {handling: false};
+  const budget = options.budget ?? createAnswerBudget(MAX_ANSWER_BYTES);
   const connect = createConnector(options.connectTimeoutMs, reset);
   const pools = new Map<string, {pool: Pool; usedAt: number}>();
   const closeIdlePools = (now: number) => {
@@ -111,7 +121,7 @@
   return {
     send(origin, request, now) {
       const {method, path, headers, body, isOwnAnswer} = request;
-      const call = new Call(reset, isOwnAnswer);
+      const call = new Call(reset, budget, isOwnAnswer);
       const options = {
         method: method as Dispatcher.HttpMethod,
         path,
@@ -174,7 +184,7 @@
 /** Raised when a request would be written to a second connection. */
 const ALREADY_WRITTEN = new Error('request was already written once');
 
-class Call implements HttpCall, Dispatcher.DispatchHandler {
+class Call implements HttpCall, PendingAnswer, Dispatcher.DispatchHandler {
   readonly result: Promise<HttpResult>;
   #settle!: (result: HttpResult) => void;
   #written = false;
@@ -183,10 +193,12 @@
   #status = 0;
   #headers: IncomingHttpHeaders = {};
   #chunks: Buffer[] = [];
-  #size = 0;
+  /** Bytes received so far. */
+  size = 0;
 
   constructor(
     private readonly reset: ResetState,
+    private readonly budget: AnswerBudget,
     private readonly isOwnAnswer: HttpRequest['isOwnAnswer'],
   ) {
     this.result = new Promise(resolve => (this.#settle = resolve));
@@ -195,9 +207,17 @@
   #end(result: HttpResult): void {
     if (this.#done) return;
     this.#done = true;
+    releaseAnswer(this.budget, this);
+    this.#chunks = [];
     this.#settle(result);
   }
 
+  /** Ends the call because its answer takes too much memory. */
+  drop(): void {
+    this.#end({kind: 'broken', code: 'ANSWER_TOO_LARGE'});
+    this.#controller?.abort(CANCELLED);
+  }
+
   isWritten(): boolean {
     return this.#written;
   }
@@ -231,16 +251,14 @@
   }
 
   onResponseData(
-    controller: Dispatcher.DispatchController,
+    _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.#size += chunk.length;
-    if (this.#size > MAX_ANSWER_BYTES) {
-      this.#end({kind: 'broken', code: 'ANSWER_TOO_LARGE'});
-      controller.abort(CANCELLED);
-      return;
-    }
+    if (this.#done) return;
+    this.size += chunk.length;
     this.#chunks.push(chunk);
+    chargeAnswer(this.budget, this, chunk.length);
+    if (this.size > MAX_ANSWER_BYTES) this.drop();
   }
 
   onResponseEnd(): void {
@@ -250,7 +268,7 @@
     }
     const [first] = this.#chunks;
     const single = this.#chunks.length === 1;
-    const body = single ? first : Buffer.concat(this.#chunks, this.#size);
+    const body = single ? first : Buffer.concat(this.#chunks, this.size);
     const status = this.#status;
     const headers = this.#headers;
     const framed =
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -73,6 +73,7 @@
       connections: 100,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: KEEP_ALIVE_MS,
+      budget: board.answers,
     }),
     reportCrash,
     running: new Set(),
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -127,6 +127,7 @@
     upstream_queued: limiter.queue.length,
     upstream_cold: Number(isCold(limiter, board.now())),
     upstream_down: Number(limiter.down),
+    answer_bytes: board.answers.usedBytes,
     link_unsent_bytes: countUnsentBytes(board.pacer),
     log_lines_dropped: board.log.countDropped(),
     ready: Number(isSidecarReady(board)),
