Test answers whose head is cut

Reported by another operator: a backend stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Not seen here: with the head cut after each byte, in order or by a reset, no customer gets a success. Both tests pass on the code before.

--- a/__tests__/faulty_upstream.test.ts
+++ b/__tests__/faulty_upstream.test.ts
@@ -254,3 +254,36 @@
   t.deepEqual([...late.board.list.byId.keys()], ['u0']);
   t.false(late.board.mirror.items.has('servers/u1'));
 });
+
+/** Ways in which an upstream closes in the middle of the head of its answer. */
+const HEAD_CUTS: Record<string, (socket: Socket, part: string) => void> = {
+  'in order': (socket, part) => void socket.end(part),
+  'by a reset': (socket, part) => {
+    socket.write(part);
+    socket.resetAndDestroy();
+  },
+};
+
+for (const [kind, cut] of Object.entries(HEAD_CUTS)) {
+  // Reported by another operator: customers got 200 with an empty or short body
+  // and a length, as if it were whole.
+  test.serial(`an answer whose head is cut ${kind} is no success`, async t => {
+    const harness = await startHarness(t, ['dc1']);
+    const [own] = harness.upstreams;
+    const [{board}] = harness.sidecars;
+    const headers = {'x-server-stamp': 'signed', connection: 'close'};
+    const format = (id: string) =>
+      formatAnswer('200 OK', {...headers, 'x-request-id': id}, 'whole');
+    const length = format('c100').indexOf('\r\n\r\n') + 4;
+    for (let i = 0; i < length; i++) {
+      const id = `c${100 + i}`;
+      own.handle = req => cut(req.socket, format(id).slice(0, i));
+      const {status} = await harness.send(0, {...BOOKING, id});
+      t.not(status, 200, `cut after ${i} bytes`);
+      // The broken answer must not keep the next one from this upstream.
+      board.balance.clear();
+      await until(() => !board.limiter.down);
+    }
+    t.true(own.runs.length > length / 2, `${own.runs.length} runs`);
+  });
+}
