Bound requests of a stopping daemon by its exit

Reported by another operator: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, among them some that may not be repeated.

The time of the exit is now known to entry and owner. It bounds the deadlines of requests taken during the stop, a queued request starts only if it is expected to end before, and a body that ends after the daemon has closed is refused as not run.

Evidence: three new tests of stop.test.ts fail before (a run at the other upstream, a run of the queued request, no answer by the end of the stop) and pass after.

--- a/__tests__/stop.test.ts
+++ b/__tests__/stop.test.ts
@@ -32,8 +32,11 @@
   return bytes;
 }
 
-async function startDaemon(t: Parameters<typeof startHarness>[0]) {
-  const harness = await startHarness(t, ['dc1']);
+async function startDaemon(
+  t: Parameters<typeof startHarness>[0],
+  dataCentres: readonly string[] = ['dc1'],
+) {
+  const harness = await startHarness(t, dataCentres);
   const [sidecar] = harness.sidecars;
   const {host, customerPort} = sidecar.board.settings;
   const open = async () => {
@@ -61,6 +64,52 @@
   await stopped;
 });
 
+// Reported by another operator: requests that came late in a stop were passed on
+// and cut at the exit, among them some that may run once.
+test.serial('a body that ends late in a stop is not passed on', async t => {
+  const {harness, sidecar, open} = await startDaemon(t, ['dc1', 'dc1']);
+  const socket = await open();
+  let received = '';
+  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+  const head = formatRequest('a', ['content-length: 5']);
+  socket.write(head.replace('GET', 'POST'));
+  await until(() => sidecar.board.counters.get('entry_requests'));
+  const stopped = sidecar.stop();
+  await until(() => sidecar.board.closed);
+  socket.write('order');
+  await once(socket, 'close');
+  t.regex(received, /^HTTP\/1.1 503 /);
+  for (const {runs} of harness.upstreams) t.deepEqual(runs, []);
+  await stopped;
+});
+
+test.serial('a queued request does not start just before the exit', async t => {
+  const {harness, sidecar} = await startDaemon(t);
+  const {board} = sidecar;
+  const {limiter} = board;
+  limiter.inFlight = limiter.slots;
+  const answer = harness.send(0, {path: '/slow/1', deadlineMs: 4_000});
+  await until(() => limiter.queue.length === 1);
+  board.exitAt = board.now();
+  limiter.inFlight = 0;
+  harness.publish();
+  t.is((await answer).status, 503);
+  t.deepEqual(harness.upstreams[0].runs, []);
+});
+
+test.serial('requests during a stop are answered before the exit', async t => {
+  const {harness, sidecar} = await startDaemon(t);
+  harness.upstreams[0].handle = () => {};
+  const stopped = sidecar.stop();
+  let status = 0;
+  const sent = harness
+    .send(0, {path: '/slow/1', deadlineMs: 5_000})
+    .then(answer => (status = answer.status));
+  await stopped;
+  t.is(status, 504);
+  await sent;
+});
+
 // Customers sent their next request on a connection that was about to close.
 test.serial('an answer during a stop announces the close', async t => {
   const {harness, sidecar, open} = await startDaemon(t);
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -91,6 +91,8 @@
   stopping: boolean;
   /** True once a stopping process refuses new requests. */
   closed: boolean;
+  /** Monotonic time by which requests of a stopping process must have ended, ms. */
+  exitAt: number;
   readonly lag: LoopLag;
   readonly log: DecisionLog;
   readonly counters: Map<string, number>;
@@ -141,6 +143,7 @@
     overdueLogged: false,
     stopping: false,
     closed: false,
+    exitAt: Infinity,
     lag: createLoopLag(),
     counters: new Map(),
     metrics: createMetrics(),
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -84,6 +84,8 @@
   const body = await receiveBody(state, exchange, limits.bodyBytes);
   if (exchange.ended) return;
   if (typeof body === 'string') return finishRefused(state, exchange, body);
+  // The body may have taken long; a request that starts now might be cut.
+  if (board.closed) return finishRefused(state, exchange, 'leaving');
   exchange.body = body;
   const {req} = exchange;
   exchange.fingerprint = computeFingerprint(
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -54,6 +54,7 @@
 ): ListedUpstream | undefined {
   if (exchange.forwards >= MAX_FORWARDS) return undefined;
   if (exchange.fullRefusals >= MAX_FULL_REFUSALS) return undefined;
+  if (board.now() >= board.exitAt) return undefined;
   const listed = listService(board.list, exchange.service);
   return chooseTarget(
     board.balance,
@@ -108,7 +109,7 @@
     route: route?.name ?? '',
     rank: route?.rank ?? 0,
     goalMs: goalAt - now,
-    remainingMs: deadlineAt - now,
+    remainingMs: Math.min(deadlineAt, board.exitAt) - now,
     fingerprint: exchange.fingerprint,
   };
   exchange.tried.add(upstream.id);
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -49,7 +49,7 @@
   const timeoutMs = Math.min(route.timeoutMs, requestedMs - marginMs);
   const {startedAt} = exchange;
   exchange.goalAt = startedAt + route.goalMs - marginMs;
-  exchange.deadlineAt = startedAt + timeoutMs;
+  exchange.deadlineAt = Math.min(startedAt + timeoutMs, board.exitAt);
   exchange.customerDeadlineAt = startedAt + requestedMs - marginMs;
   exchange.headers = copyRawHeaders(rawHeaders, headers.connection, [
     names.caller,
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -30,7 +30,7 @@
 import {
   classifyAnswer,
   checkArrival,
-  checkListing,
+  checkStart,
   logRefusal,
 } from './owner_checks.js';
 import {
@@ -185,7 +185,7 @@
     start: () => {
       clearTimeout(timer);
       // The list may have changed while the request was queued.
-      const outcome = checkListing(board, request);
+      const outcome = checkStart(board, request);
       if (outcome) {
         release(board.limiter, request.route, 0, 'cancelled', board.now());
         refuse(outcome, 0);
--- a/src/sidecar/owner_checks.ts
+++ b/src/sidecar/owner_checks.ts
@@ -3,6 +3,7 @@
   type Outcome,
   findByAddress,
   isCold,
+  predictRunMs,
 } from '../internal.js';
 import {isLeaving} from './announcements.js';
 import {type SidecarBoard, isOverdue} from './board.js';
@@ -20,6 +21,16 @@
   return checkListing(board, request);
 }
 
+/** Checks a request that was queued; returns the reason to refuse it, if any. */
+export function checkStart(
+  board: SidecarBoard,
+  request: ForwardRequest,
+): Outcome | undefined {
+  const {limiter, now, exitAt} = board;
+  if (now() + predictRunMs(limiter, request.route) > exitAt) return 'leaving';
+  return checkListing(board, request);
+}
+
 /** Checks a request against the upstream list, which must be current; returns
  * the reason to refuse it, if any. */
 export function checkListing(
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -61,6 +61,9 @@
  * process to exit by itself. */
 const DRAIN_SHARE = 0.9;
 
+/** Time for the last answers to reach their customers before the exit, ms. */
+const EXIT_MARGIN_MS = 100;
+
 /** Interval at which a stopping process checks for running requests, ms. */
 const STOP_POLL_MS = 50;
 
@@ -204,6 +207,7 @@
     async stop() {
       const stopAt = now() + settings.graceMs * DRAIN_SHARE;
       board.stopping = true;
+      board.exitAt = stopAt - EXIT_MARGIN_MS;
       log.write('always', 'stopping', {running: entry.countRunning()});
       await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
       board.closed = true;
