Accept an answer only with the id of its request

Cause: an upstream wrote the answer to a health check a second time, while the next request ran on that connection. It bears no id, and an answer without one counted as that of the request if its status was 400 or above. Upstreams echo the id, so an answer without it is not known to belong to the request.

Such an answer now ends the call as one that may have run, and closes the connection.

The upstream of one test of metrics answered without the id; it echoes it now.

--- a/__tests__/faulty_upstream.test.ts
+++ b/__tests__/faulty_upstream.test.ts
@@ -68,6 +68,11 @@
   'without an id': formatAnswer('503 Busy', {'x-not-run': '1'}),
   'as 421 without an id': formatAnswer('421 Other', {}),
   'as 421 with its id': formatAnswer('421 Other', {'x-request-id': 'a'}),
+  'as the answer to a health check': formatAnswer('503 Failing', {
+    'x-instance-id': 'u0',
+  }),
+  'as 429 without an id': formatAnswer('429 Busy', {}),
+  'as 408 without an id': formatAnswer('408 Late', {}),
 };
 
 for (const [kind, bytes] of Object.entries(EARLIER_REFUSALS)) {
@@ -99,6 +104,20 @@
   );
 }
 
+// A copy of the answer to a health check, which bears no id, ended the booking
+// that came next on the connection.
+test.serial('no request follows a health check on its connection', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [own] = harness.upstreams;
+  const [{board}] = harness.sidecars;
+  const checks = () => board.counters.get('health_checks') ?? 0;
+  own.handle = req => req.socket.resetAndDestroy();
+  const before = checks();
+  t.is((await harness.send(0, {...BOOKING, id: 'a'})).status, 502);
+  await until(() => checks() > before && own.checks.length > before);
+  t.is(own.checks.at(-1)?.headers.connection, 'close');
+});
+
 // The next customer got an answer that was not its own, and so did all later
 // ones on that connection.
 test.serial('a late second copy of an answer reaches nobody', async t => {
--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -441,7 +441,10 @@
       answerOk(req, res, 'x'.repeat(50_000));
     for (let i = 0; i < 50; i++) recordTargetSend(entry.balance, 'u0');
     t.is((await harness.send(0)).status, 200);
-    harness.upstreams[1].handle = (_req, res) => res.writeHead(500).end();
+    harness.upstreams[1].handle = (req, res) => {
+      const id = String(req.headers['x-request-id']);
+      res.writeHead(500, {'x-request-id': id}).end();
+    };
     const book = {path: '/book/1', method: 'POST'};
     t.is((await harness.send(0, book)).status, 500);
     const countOf = ({metrics}: typeof entry, name: string) =>
--- a/__tests__/support/sidecar_harness.ts
+++ b/__tests__/support/sidecar_harness.ts
@@ -22,6 +22,8 @@
   /** Ids of the requests that it started to run. */
   readonly runs: string[];
   readonly requests: IncomingMessage[];
+  /** Health checks that it received. */
+  readonly checks: IncomingMessage[];
   handle: (req: IncomingMessage, res: ServerResponse) => void;
   health: Record<string, string>;
   /** While set, health checks get no answer. */
@@ -288,6 +290,7 @@
   const sockets = new Set<Socket>();
   const server = createServer((req, res) => {
     if (req.url === '/healthz') {
+      upstream.checks.push(req);
       if (upstream.ignoreHealthChecks) return;
       res.writeHead(200, {'x-instance-id': id, ...upstream.health}).end();
       return;
@@ -307,6 +310,7 @@
     port,
     runs: [],
     requests: [],
+    checks: [],
     handle: answerOk,
     health: {},
     ignoreHealthChecks: false,
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -27,6 +27,8 @@
    * connection, on which later answers would be those of earlier requests.
    */
   readonly isOwnAnswer?: (head: AnswerHead) => boolean;
+  /** True when the connection is closed after the answer. */
+  readonly closes?: boolean;
 }
 
 /** Head of an answer. */
@@ -120,7 +122,7 @@
   };
   return {
     send(origin, request, now) {
-      const {method, path, headers, body, isOwnAnswer} = request;
+      const {method, path, headers, body, isOwnAnswer, closes} = request;
       const call = new Call(reset, budget, isOwnAnswer);
       const options = {
         method: method as Dispatcher.HttpMethod,
@@ -128,6 +130,7 @@
         headers,
         body,
         idempotent: false,
+        reset: closes,
       };
       try {
         getOrCreatePool(origin, now).dispatch(options, call);
--- a/src/sidecar/owner_checks.ts
+++ b/src/sidecar/owner_checks.ts
@@ -56,18 +56,13 @@
   requestId: string,
   {status, headers}: AnswerHead,
 ): 'own' | 'notRun' | 'crossed' {
-  const id = readHeader(headers, names.requestId);
-  // An answer with another id is a late answer to an earlier request.
-  if (id !== undefined && id !== requestId) return 'crossed';
-  if (headers[names.notRun] !== undefined || status === 421) {
-    // Without an id it may be an earlier refusal that was written once more,
-    // while this request is running.
-    return id === undefined ? 'crossed' : 'notRun';
-  }
+  // An answer with another id, or none, may be a late copy of an earlier one
+  // while this request is running; a status such as 503 would deny that.
+  if (readHeader(headers, names.requestId) !== requestId) return 'crossed';
+  if (headers[names.notRun] !== undefined || status === 421) return 'notRun';
   if (headers['content-encoding'] !== undefined) return 'crossed';
   const signed = headers[names.signature] !== undefined;
-  if (status < 400 && (!signed || id === undefined)) return 'crossed';
-  return 'own';
+  return status >= 400 || signed ? 'own' : 'crossed';
 }
 
 /** Logs a refused request, with the state that led to the refusal. */
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -147,6 +147,8 @@
     path: service.healthPath,
     headers: [],
     body: undefined,
+    // A copy of the answer bears no id and would end the next request.
+    closes: true,
     // A late answer to a request says nothing about a cold upstream. Only those
     // are signed; an id proves nothing, since some upstreams generate one.
     isOwnAnswer: ({headers}: AnswerHead) =>
