Send paced replies in whole bytes

Customers got 504 for large answers of other machines on links with certain rates (review: 13 of 60 downloads at 33.3 Mbit/s, none at 1,000).

Cause: the size of a piece was a fraction of the rate. The sum of the pieces never equalled the length of the reply, so that its end was not written. Pieces have whole bytes now.

Evidence: "pieces are whole bytes at any rate" fails before (16,987.5 bytes at 15.1 Mbit/s) and passes for 15 to 140 Mbit/s in steps of 0.1.

--- a/__tests__/link_pacer.test.ts
+++ b/__tests__/link_pacer.test.ts
@@ -59,6 +59,26 @@
   t.true(ms <= 450_000 / 900);
 });
 
+// With a link of 33.3 Mbit/s some replies were never ended: the pieces added up to
+// a fraction more or less than the reply, and customers got 504.
+test('pieces are whole bytes at any rate', t => {
+  for (let mbps = 15; mbps <= 140; mbps += 0.1) {
+    const pacer = createLinkPacer((mbps * 1e6) / 8, 0);
+    let sentBytes = 0;
+    pacer.messages.add({
+      rank: 1,
+      remainingBytes: 260_000,
+      blocked: false,
+      send(bytes) {
+        t.true(Number.isInteger(bytes), `${bytes} bytes at ${mbps} Mbit/s`);
+        sentBytes += bytes;
+      },
+    });
+    sendAll(pacer, 0);
+    t.is(sentBytes, 260_000);
+  }
+});
+
 test('messages that were sent at once use the same rate', t => {
   const pacer = createLinkPacer(BYTES_PER_S, 0);
   const log: string[] = [];
--- a/src/core/link_pacer.ts
+++ b/src/core/link_pacer.ts
@@ -35,7 +35,11 @@
 /** Creates the pacer of a link with the given rate, bytes per second. */
 export function createLinkPacer(bytesPerS: number, now: number): LinkPacer {
   const bytesPerMs = (bytesPerS * PACED_SHARE) / 1_000;
-  const chunkBytes = Math.max(MIN_CHUNK_BYTES, bytesPerMs * CHUNK_MS);
+  // Whole bytes: the sum of fractions never equals the length of a message.
+  const chunkBytes = Math.max(
+    MIN_CHUNK_BYTES,
+    Math.floor(bytesPerMs * CHUNK_MS),
+  );
   return {
     bytesPerMs,
     chunkBytes,
