Tell a key that was created again from a heartbeat

A daemon that had seen the deletion of a key, which was then written again with the same value, could miss the key for good: its reader, which saw both in one watch, held the value for unchanged and answered that nothing was newer. Found by reading in the review.

The store names the revision at which a key was created. If that is later than the known item, the key was deleted in between and its value is news.

Evidence: "a key that was created again is news, a heartbeat is not" fails before and passes after.

--- a/__tests__/store_mirror.test.ts
+++ b/__tests__/store_mirror.test.ts
@@ -42,6 +42,23 @@
   t.deepEqual(changes, [{key: KEY, value: createDocument(1_500)}]);
 });
 
+// A key was deleted and written again between two watches. A daemon that had seen
+// the deletion elsewhere was told that nothing was newer, and missed the key.
+test('a key that was created again is news, a heartbeat is not', t => {
+  const mirror = createMirror('k/');
+  const value = Buffer.from('same');
+  const key = 'k/a';
+  applyEvents(mirror, [{key, value, revision: 10, created: 10}], 10);
+  const heartbeat = {key, value, revision: 12, created: 10};
+  t.deepEqual(applyEvents(mirror, [heartbeat], 12), []);
+  const again = {key, value, revision: 15, created: 15};
+  t.deepEqual(applyEvents(mirror, [again], 15), [{key, value}]);
+  t.deepEqual(
+    readMirror(mirror, 13)?.items.map(item => item.key),
+    [key],
+  );
+});
+
 test('a daemon without the base of a delta asks for all items', t => {
   const [reader, follower] = [createMirror('k/'), createMirror('k/')];
   put(reader, createDocument(1), 1);
--- a/src/core/store_mirror.ts
+++ b/src/core/store_mirror.ts
@@ -7,6 +7,8 @@
   readonly value: Buffer;
   /** Revision of the store at the last change of the key. */
   readonly revision: number;
+  /** Revision of the store at which the key was created, if it is known. */
+  readonly created?: number;
 }
 
 /** One change; without a value the key was deleted. */
@@ -14,6 +16,7 @@
   readonly key: string;
   readonly value?: Buffer;
   readonly revision: number;
+  readonly created?: number;
 }
 
 /** Size from which a changed value is sent as a delta, bytes. */
@@ -94,9 +97,15 @@
 }
 
 function applyEvent(mirror: StoreMirror, event: StoreEvent): KeyChange[] {
-  const {key, value, revision} = event;
-  const known = mirror.items.get(key);
+  const {key, value, revision, created = 0} = event;
+  let known = mirror.items.get(key);
   if (known && known.revision >= revision) return [];
+  if (known && created > known.revision) {
+    // The key was deleted in between. Another daemon may have seen that, and the
+    // same value is news to it.
+    deleteItem(mirror, key);
+    known = undefined;
+  }
   if (known && value && mirror.isUnchanged(key, known.value, value)) return [];
   if (value === undefined) deleteItem(mirror, key);
   else mirror.items.set(key, {key, value, revision});
--- a/standins/kv_store.ts
+++ b/standins/kv_store.ts
@@ -35,7 +35,10 @@
     calls: 0,
     put(key, value) {
       const text = typeof value === 'string' ? value : JSON.stringify(value);
-      const item = {key, value: Buffer.from(text), revision: ++revision};
+      const bytes = Buffer.from(text);
+      revision++;
+      const created = items.get(key)?.created ?? revision;
+      const item = {key, value: bytes, revision, created};
       items.set(key, item);
       record(item);
     },
