End the state down of an upstream that answers requests

Cause: an answer to an earlier request ends the checks, since a busy upstream may drop them, but left the upstream marked as down. All requests were then refused, so nothing started a check again.

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -324,6 +324,34 @@
   t.is((await harness.send(0)).status, 200);
 });
 
+// After an unanswered check the upstream counted as down, and an answer to a
+// request ended the checks: every later request was refused, for good.
+test.serial('an answer ends the state down of an upstream', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [upstream] = harness.upstreams;
+  const [{board}] = harness.sidecars;
+  let answerLong = () => {};
+  upstream.handle = (req, res) => {
+    if (req.url === '/slow/lost') req.socket.resetAndDestroy();
+    else answerLong = () => answerOk(req, res);
+  };
+  const long = harness.send(0, {path: '/slow/long', deadlineMs: 5_000});
+  await until(() => upstream.runs.length === 1);
+  upstream.ignoreHealthChecks = true;
+  const lost = {path: '/slow/lost', method: 'POST', deadlineMs: 5_000};
+  const sentLost = harness.send(0, lost);
+  await until(() => board.limiter.down);
+  const checks = upstream.checks.length;
+  await until(() => upstream.checks.length > checks);
+  answerLong();
+  t.is((await long).status, 200);
+  upstream.handle = (req, res) => answerOk(req, res);
+  await until(() => !board.limiter.down);
+  board.balance.clear();
+  t.is((await harness.send(0)).status, 200);
+  await sentLost;
+});
+
 // Requests to a data centre that had lost power waited until their deadline,
 // and new ones were sent there until its list entries expired.
 test.serial('a daemon that falls silent delays only one request', async t => {
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -115,7 +115,7 @@
       return;
     }
     // A busy upstream may drop the check and still answer requests.
-    if (state.answeredAt >= sentAt && !isCold(board.limiter, sentAt)) return;
+    if (state.answeredAt >= sentAt && !isCold(board.limiter, sentAt)) break;
     if (!board.limiter.down) {
       board.limiter.down = true;
       board.log.write('always', 'upstreamDown', {});
