Count request bodies against the memory as they arrive

Several large bodies at once could take more memory than the daemon has (read in the review): each was checked alone against the memory that was free when its head arrived, and counted only once it was complete.

The bytes count as they are read and are released with the response. A body that does not fit is refused as not run; its connection is no longer reset before the refusal is sent.

Evidence: both tests of bodies.test.ts (five bodies of 5 MB that arrive together, 19 MB of memory) do not end before, since none is refused, and pass after.

--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -48,6 +48,8 @@
   /** End-to-end headers, alternating names and values. */
   headers: string[];
   body: Buffer | undefined;
+  /** Releases the memory that the body counts for. */
+  releaseBody?: () => void;
   fingerprint: string;
   /** Ids of the upstreams that were chosen so far. */
   readonly tried: Set<string>;
@@ -110,7 +112,7 @@
   res.once('close', () => {
     state.running--;
     state.busySockets.delete(socket);
-    state.bodyBytes -= exchange.body?.length ?? 0;
+    exchange.releaseBody?.();
     exchange.cancelTimeout?.();
     if (exchange.ended) return;
     exchange.ended = true;
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -8,7 +8,7 @@
 } from '../internal.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyRawHeaders, readHeader} from './header_copy.js';
-import {readOptionalBody} from './inbound.js';
+import {hasBody} from './inbound.js';
 
 /** Time reserved for sending the answer to the customer, ms. */
 const ANSWER_MARGIN_MS = 20;
@@ -74,22 +74,34 @@
   limitBytes: number,
 ): Promise<Buffer | undefined | Outcome> {
   const {req} = exchange;
+  if (!hasBody(req)) return undefined;
+  const {memoryMb} = state.board.settings;
+  const memoryBytes = memoryMb * 1_048_576 * BODY_MEMORY_SHARE;
   const declared = Number(req.headers['content-length'] ?? 0);
   if (declared > limitBytes) return 'tooLarge';
-  const {memoryMb} = state.board.settings;
-  const freeBytes = memoryMb * 1_048_576 * BODY_MEMORY_SHARE - state.bodyBytes;
-  if (declared > freeBytes) return 'full';
-  let body: Buffer | undefined;
+  if (state.bodyBytes + declared > memoryBytes) return 'full';
+  const chunks: Buffer[] = [];
+  let size = 0;
+  let outcome: Outcome | undefined;
+  // Counted as they arrive: several bodies may be read at the same time.
+  exchange.releaseBody = () => {
+    state.bodyBytes -= size;
+    size = 0;
+  };
+  const input = req.iterator({destroyOnReturn: false});
   try {
-    body = await readOptionalBody(req, Math.min(limitBytes, freeBytes));
+    for await (const chunk of input as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      state.bodyBytes += chunk.length;
+      if (size > limitBytes) outcome = 'tooLarge';
+      else if (state.bodyBytes > memoryBytes) outcome = 'full';
+      if (outcome) return outcome;
+      chunks.push(chunk);
+    }
   } catch {
     // The customer disconnected; the close of the response ends the exchange.
     exchange.ended = true;
     return undefined;
   }
-  if (body === undefined && req.headers['transfer-encoding']) {
-    return 'tooLarge';
-  }
-  state.bodyBytes += body?.length ?? 0;
-  return body;
+  return Buffer.concat(chunks);
 }
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -54,7 +54,9 @@
 ): Promise<void> {
   const lagMs = board.lag.read();
   board.peerHeardAt = board.now();
-  const body = await readOptionalBody(req, Number.MAX_SAFE_INTEGER);
+  const body = hasBody(req)
+    ? await readBody(req, Number.MAX_SAFE_INTEGER)
+    : undefined;
   if (res.destroyed) return;
   const request = readForward(req, board.names.requestId, body, lagMs);
   if (!request) {
@@ -77,19 +79,11 @@
   );
 }
 
-/** Reads a body; undefined if there is none or it is too large. Rejects when
- * the sender disconnects. */
-export function readOptionalBody(
-  req: IncomingMessage,
-  limitBytes: number,
-): Promise<Buffer | undefined> {
-  const {headers} = req;
+/** True when the head of a request announces a body. */
+export function hasBody({headers}: IncomingMessage): boolean {
   const declared = headers['content-length'];
-  const hasNoLength = declared === undefined || declared === '0';
-  if (hasNoLength && headers['transfer-encoding'] === undefined) {
-    return Promise.resolve(undefined);
-  }
-  return readBody(req, limitBytes);
+  const hasLength = declared !== undefined && declared !== '0';
+  return hasLength || headers['transfer-encoding'] !== undefined;
 }
 
 /** Serves the requests of other daemons except forwarded ones: liveness
