Keep announced stops of upstreams that are not listed

Announcements are now kept when the entry goes, up to 500 of upstreams that are not listed.

Evidence: "an announced stop holds when the entry comes back" fails before and passes after.

--- a/__tests__/sidecar.test.ts
+++ b/__tests__/sidecar.test.ts
@@ -633,6 +633,31 @@
 
 // A restarted owner does not know the announcement; entries that have forwarded
 // it must not send the upstream more.
+// The entry of a leaving upstream expired in an outage and came back, and with it
+// the requests: the announcement had been forgotten.
+test.serial('an announced stop holds when the entry comes back', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [upstream] = harness.upstreams;
+  const [{board}] = harness.sidecars;
+  const {host, port} = upstream;
+  upstream.handle = (req, res) => {
+    res.setHeader('server-leaving', '1');
+    answerOk(req, res);
+  };
+  t.is((await harness.send(0)).status, 200);
+  harness.store.remove('servers/u0');
+  await until(() => !board.list.byId.has('u0'));
+  harness.store.put('servers/u0', {
+    addr: `${host}:${port}`,
+    born: 1_000,
+    info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
+    status: {state: 'ready', sequence: 2, cold_left: '0ms'},
+  });
+  await until(() => board.list.byId.has('u0'));
+  t.is((await harness.send(0)).status, 503);
+  t.is(upstream.runs.length, 1);
+});
+
 test.serial(
   'an entry remembers that an upstream announced its stop',
   async t => {
--- a/src/sidecar/announcements.ts
+++ b/src/sidecar/announcements.ts
@@ -54,12 +54,18 @@
   if (own?.id === upstreamId) recordLeaving(board, own, answer);
 }
 
-/** Forgets announcements of upstreams that are no longer listed. */
+/** Announcements that are kept of upstreams that are not listed; their entries may
+ * come back after an outage of the list, while they still serve. */
+const MAX_UNLISTED_ANNOUNCEMENTS = 500;
+
+/** Forgets the oldest announcements of upstreams that are no longer listed. */
 export function pruneAnnouncements({
   announcedLeaving,
   list,
 }: SidecarBoard): void {
-  for (const id of announcedLeaving.keys()) {
-    if (!list.byId.has(id)) announcedLeaving.delete(id);
-  }
+  const unlisted = [...announcedLeaving.keys()].filter(
+    id => !list.byId.has(id),
+  );
+  const extra = Math.max(0, unlisted.length - MAX_UNLISTED_ANNOUNCEMENTS);
+  for (const id of unlisted.slice(0, extra)) announcedLeaving.delete(id);
 }
