Count no bytes of a body after its customer has left

Read in the diff: bytes that were still buffered when the response closed would have counted against the memory for bodies for good.

--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -91,6 +91,8 @@
   const input = req.iterator({destroyOnReturn: false});
   try {
     for await (const chunk of input as AsyncIterable<Buffer>) {
+      // The memory was released when the customer disconnected.
+      if (exchange.ended) return undefined;
       size += chunk.length;
       state.bodyBytes += chunk.length;
       if (size > limitBytes) outcome = 'tooLarge';
