--- a/__tests__/odd_entries.test.ts
+++ b/__tests__/odd_entries.test.ts
@@ -37,6 +37,15 @@
   paddedPort: JSON.stringify({...VALID, addr: '127.0.0.1:0009'}),
   octetTooLarge: JSON.stringify({...VALID, addr: '300.1.2.3:9'}),
   octetMissing: JSON.stringify({...VALID, addr: '127.0.1:9'}),
+  ...Object.fromEntries(
+    Object.entries({
+      noVersion: {info: {...VALID.info, version: undefined}},
+      versionOfAnotherType: {info: {...VALID.info, version: 1}},
+      noSequence: {status: {...VALID.status, sequence: undefined}},
+      sequenceOfAnotherType: {status: {...VALID.status, sequence: '1'}},
+      noColdTime: {status: {...VALID.status, cold_left: undefined}},
+    }).map(([name, change]) => [name, JSON.stringify({...VALID, ...change})]),
+  ),
   portInHex: JSON.stringify({...VALID, addr: '127.0.0.1:0x50'}),
   noJson: '\u0000\ufffd{',
 };
