--- a/__tests__/stop.test.ts
+++ b/__tests__/stop.test.ts
@@ -83,6 +83,7 @@
   await stopped;
 });
 
+// A request that had waited in the queue started when it could only be cut.
 test.serial('a queued request does not start just before the exit', async t => {
   const {harness, sidecar} = await startDaemon(t);
   const {board} = sidecar;
@@ -97,6 +98,7 @@
   t.deepEqual(harness.upstreams[0].runs, []);
 });
 
+// A request with a deadline after the exit was cut without an answer.
 test.serial('requests during a stop are answered before the exit', async t => {
   const {harness, sidecar} = await startDaemon(t);
   harness.upstreams[0].handle = () => {};
