Log connections that the daemon cuts and the time that was left

- connectionCut names each request that was read and had no complete answer when the daemon closed its connection; entry_connections_cut counts these connections.
- request lines of refusals and failures have allowedLeftMs, the time that customer and route still allowed as counted from the read of the head (leftMs counts from the corrected arrival), and whether the daemon stops.

No logic changes.

--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -1,4 +1,4 @@
-import type {RequestListener, Server} from 'node:http';
+import type {IncomingMessage, RequestListener, Server} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
@@ -16,6 +16,9 @@
   readonly isBusy: (socket: Duplex) => boolean;
   /** Answers a malformed or overdue request and ends the writing side. */
   readonly answerError: (err: Error, socket: Duplex) => void;
+  /** Called when a connection that the customer did not close ends before these
+   * requests were answered. */
+  readonly onCut?: (requests: readonly IncomingMessage[]) => void;
 }
 
 /** Connections of customers. */
@@ -30,8 +33,10 @@
  */
 export function serveCustomers(
   server: Server,
-  {handle, isBusy, answerError}: CustomerHandlers,
+  {handle, isBusy, answerError, onCut}: CustomerHandlers,
 ): CustomerConnections {
+  /** Requests of a connection that were read and have no complete answer. */
+  const unanswered = new WeakMap<Socket, Set<IncomingMessage>>();
   /** Open connections, with the bytes read up to the end of the last request. */
   const readBytes = new Map<Socket, number>();
   /** Connections whose timeout has passed and whose input is being read. */
@@ -60,14 +65,23 @@
     !isBusy(socket) && socket.bytesRead === readBytes.get(socket);
   server.on('connection', (socket: Socket) => {
     readBytes.set(socket, 0);
-    socket.once('close', () => readBytes.delete(socket));
+    const requests = new Set<IncomingMessage>();
+    unanswered.set(socket, requests);
+    socket.once('close', () => {
+      readBytes.delete(socket);
+      const byCustomer = socket.readableEnded || socket.errored;
+      if (!byCustomer && requests.size > 0) onCut?.([...requests]);
+    });
   });
   server.on('request', (req, res) => {
     const {socket} = req;
     overdue.delete(socket);
     if (rejected.has(socket)) return;
+    const requests = unanswered.get(socket);
+    requests?.add(req);
     handle(req, res);
     res.once('close', () => {
+      if (res.writableFinished) requests?.delete(req);
       if (!socket.destroyed) readBytes.set(socket, socket.bytesRead);
     });
   });
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -29,8 +29,12 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly id: string;
-  /** Monotonic arrival time, ms. */
+  /** Monotonic time at which the head was read, ms. */
+  readonly readAt: number;
+  /** Earliest time at which the request may have arrived, ms. */
   readonly startedAt: number;
+  /** Time that the customer and the route allow, ms. */
+  allowedMs?: number;
   route?: MeshRoute;
   /** Version of the configuration in use. */
   version: number;
@@ -83,11 +87,13 @@
 ): Exchange {
   const {board} = state;
   // The time that a request waits unread counts towards its deadline.
-  const startedAt = board.now() - board.lag.read();
+  const readAt = board.now();
+  const startedAt = readAt - board.lag.read();
   const exchange: Exchange = {
     req,
     res,
     id: readHeader(req.headers, board.names.requestId) ?? '',
+    readAt,
     startedAt,
     version: 0,
     service: '',
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -151,7 +151,7 @@
   outcome: Outcome | 'cancelled',
   status: number,
 ): void {
-  const {route, startedAt, deadlineAt} = exchange;
+  const {route, readAt, startedAt, deadlineAt, allowedMs} = exchange;
   const now = board.now();
   countRouteEnd(board, route?.name ?? '', outcome, status);
   const routine = outcome === 'answered' && status < 500;
@@ -169,5 +169,12 @@
     leftMs: Number.isFinite(deadlineAt)
       ? Math.round(deadlineAt - now)
       : undefined,
+    // Negative from the moment at which the customer, or the operator's timeout,
+    // allows no more time.
+    allowedLeftMs:
+      routine || allowedMs === undefined
+        ? undefined
+        : Math.round(readAt + allowedMs - now),
+    stopping: board.stopping || undefined,
   });
 }
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -42,6 +42,7 @@
   const requestedMs = Number.isFinite(deadlineMs)
     ? deadlineMs
     : route.timeoutMs;
+  exchange.allowedMs = Math.min(route.timeoutMs, requestedMs);
   const marginMs = Math.min(
     ANSWER_MARGIN_MS,
     requestedMs * ANSWER_MARGIN_SHARE,
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -7,6 +7,7 @@
 import {count, countUnsentBytes, isCold, listUpstreams} from '../internal.js';
 import {type SidecarBoard, isSidecarReady, readCopyStatus} from './board.js';
 import type {Entry} from './entry.js';
+import {readHeader} from './header_copy.js';
 import {
   type IncomingMessage,
   type RequestListener,
@@ -53,10 +54,25 @@
       count(board, 'entry_bad_http');
       answerClientError(err, socket);
     },
+    onCut: requests => logCut(board, requests),
   });
   return {server, ...connections};
 }
 
+/** Logs requests whose connection this daemon closed without an answer. */
+function logCut(
+  board: SidecarBoard,
+  requests: readonly IncomingMessage[],
+): void {
+  count(board, 'entry_connections_cut');
+  for (const {headers} of requests) {
+    board.log.write('notable', 'connectionCut', {
+      request: readHeader(headers, board.names.requestId),
+      stopping: board.stopping,
+    });
+  }
+}
+
 /** Creates the server for other daemons. */
 export function createPeerServer(handle: RequestListener): Server {
   const options = {
