Bound the requests that wait on a connection

One customer could end a daemon: requests that wait behind another one have no output yet, so the backpressure of Node's server does not stop the reading.

Change: a connection with more than 32 unanswered requests is paused, and read on once that many are left. The pause is set after the parser has returned, since it resumes the connection at the end of each request.

--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -12,6 +12,9 @@
  * customer ends it too. */
 const CLOSE_LINGER_MS = 1_000;
 
+/** Requests of a connection without an answer above which it is not read on. */
+const MAX_UNANSWERED = 32;
+
 /** Place of a request among those of its connection. */
 export interface RequestTurn {
   /** Time that it waited for the answers to earlier requests, ms. */
@@ -112,6 +115,7 @@
     res.once('close', () => {
       if (res.writableFinished) unanswered.delete(req);
       connection.readBytes = socket.bytesRead;
+      if (unanswered.size === MAX_UNANSWERED) socket.resume();
       const {err, ended} = connection;
       if (err && !ended && unanswered.size === 0) answerFault(connection, err);
     });
@@ -143,6 +147,12 @@
     }
     connection.unanswered.add(req);
     connection.latest = req;
+    if (connection.unanswered.size > MAX_UNANSWERED) {
+      // Node's parser resumes the connection at the end of each request.
+      setImmediate(() => {
+        if (connection.unanswered.size > MAX_UNANSWERED) socket.pause();
+      });
+    }
     const readAt = performance.now();
     // Node assigns the socket to a response when those before it are written.
     if (res.socket) start(connection, req, res, 0);
@@ -210,6 +220,7 @@
 }
 
 function linger({socket}: Connection): void {
+  if (socket.destroyed) return;
   const timer = setTimeout(() => socket.destroy(), CLOSE_LINGER_MS);
   socket.once('close', () => clearTimeout(timer));
 }
