Serve nothing on a connection that its customer has ended

A request that waited behind a large answer was forwarded although its customer had ended the connection meanwhile: the response gets the socket when the answer before it is written, and the socket cannot be written any more.

Evidence: customer_server.test.ts, 'nothing is served once the customer has ended', fails without the check (2 requests served) and passes with it.

--- a/__tests__/customer_server.test.ts
+++ b/__tests__/customer_server.test.ts
@@ -53,3 +53,17 @@
   release();
   await until(() => state.read === sent);
 });
+
+// A request that waited was served though its customer had ended the connection.
+test('nothing is served once the customer has ended', async t => {
+  const {state, socket, release} = await startServer(t);
+  const closed = once(socket, 'close');
+  socket.write(REQUEST.repeat(2));
+  await until(() => state.read === 2);
+  release('x'.repeat(12_000_000));
+  socket.end();
+  await new Promise(resolve => setTimeout(resolve, 200));
+  socket.resume();
+  await closed;
+  t.is(state.served, 1);
+});
--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -106,6 +106,8 @@
     waitedMs: number,
   ): void => {
     const {socket, unanswered, err} = connection;
+    // The customer has left while an answer was written.
+    if (!socket.writable) return;
     if (err && !req.complete) {
       unanswered.clear();
       answerFault(connection, err);
