Keep the connection of a whole request that is refused

Callers lost their connection with each refusal that needs no wait (no configuration, missed updates, unknown route), and a request that they had sent behind it was read and dropped. Cause: Node reports a request before it marks it as complete, so the check for an unread body took each of them for one.

Evidence: kept_connections.test.ts, 'a refusal keeps the connection of a whole request': before, 404 with close and nothing for the request behind it (the test did not end in 15 s); now 404 and 200.

--- a/__tests__/kept_connections.test.ts
+++ b/__tests__/kept_connections.test.ts
@@ -151,6 +151,19 @@
   t.deepEqual(upstream.runs, ['a']);
 });
 
+// Node reports a request before it counts as read whole, so each refusal without
+// a wait closed its connection, and what followed was dropped.
+test.serial('a refusal keeps the connection of a whole request', async t => {
+  const {upstream, answer, open} = await startDaemon(t);
+  const socket = await open();
+  const received = collect(socket);
+  socket.write(formatRequest('a', 'GET /none/1') + formatRequest('b'));
+  await answer('b');
+  await until(() => received.text.includes('hello'));
+  t.deepEqual(listAnswers(received.text), ['404 -', '200 b']);
+  t.deepEqual(upstream.runs, ['b']);
+});
+
 const MALFORMED: Record<string, string> = {
   'malformed input': 'hello\r\n\r\n',
   'a CONNECT request': 'CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n',
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -10,6 +10,7 @@
 import type {EntryState, Exchange} from './exchange.js';
 import {copyAnswerHeaders} from './header_copy.js';
 import type {HttpAnswer} from './http_client.js';
+import {hasBody} from './inbound.js';
 
 /** Minimum `retry-after` of a refusal, ms. */
 const MIN_RETRY_AFTER_MS = 50;
@@ -80,11 +81,12 @@
   count(board, `entry_refused_${outcome}`);
   logRequest(state, exchange, outcome, status);
   // An unread body would be parsed as the next request.
-  if (!req.complete) headers.connection = 'close';
+  const isUnread = hasBody(req) && !req.complete;
+  if (isUnread) headers.connection = 'close';
   announceClose(state, exchange);
   res.writeHead(status, headers);
   res.end();
-  if (!req.complete) req.resume();
+  if (isUnread) req.resume();
 }
 
 /** Tells a customer of a stopping daemon not to reuse the connection, unless
