Keep the error answer of an upstream when the resend fails

Callers of routes that may be repeated got a status of the daemon in place of a ready answer: an upstream had run the request and answered 500, the resend was refused, broke or got no answer, and they were told 503 (not run), 502 or 504. Only the case without an upstream left kept the answer.

Evidence: faulty_upstream.test.ts, 'an error answer is kept when the resend ...': 503, 502 and 504 before, 500 of the upstream now.

--- a/__tests__/faulty_upstream.test.ts
+++ b/__tests__/faulty_upstream.test.ts
@@ -1,4 +1,4 @@
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {recordTargetSend} from '../src/internal.js';
@@ -306,3 +306,36 @@
     t.true(own.runs.length > length / 2, `${own.runs.length} runs`);
   });
 }
+
+const RESENDS: Record<
+  string,
+  (req: IncomingMessage, res: ServerResponse) => void
+> = {
+  'is refused': (req, res) => {
+    const id = String(req.headers['x-request-id']);
+    res.writeHead(503, {'x-request-id': id, 'x-not-run': '1'}).end();
+  },
+  breaks: req => req.socket.resetAndDestroy(),
+  'gets no answer': () => {},
+};
+
+for (const [kind, handleResend] of Object.entries(RESENDS)) {
+  // The error answer of an upstream that had run the request was replaced by a
+  // status of the daemon, which could say that it has not run.
+  test.serial(`an error answer is kept when the resend ${kind}`, async t => {
+    const {harness} = await startPair(t);
+    let arrivals = 0;
+    for (const upstream of harness.upstreams) {
+      upstream.handle = (req, res) => {
+        const id = String(req.headers['x-request-id']);
+        const headers = {'x-request-id': id, 'x-server-stamp': 'signed'};
+        if (arrivals++ > 0) handleResend(req, res);
+        else res.writeHead(500, headers).end('failed');
+      };
+    }
+    const answer = await harness.send(0, {path: '/read/1'});
+    t.is(arrivals, 2);
+    t.is(answer.status, 500);
+    t.is(answer.headers['x-server-stamp'], 'signed');
+  });
+}
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -9,7 +9,7 @@
 import type {RequestTurn} from '../daemon/customer_server.js';
 import {type SidecarBoard, isOverdue} from './board.js';
 import {type EntryState, type Exchange, beginExchange} from './exchange.js';
-import {finishRefused, finishUnserved} from './finish.js';
+import {finishFailed, finishRefused, finishUnserved} from './finish.js';
 import {checkHead, receiveBody} from './head.js';
 import {createHttpClient} from './http_client.js';
 import {attemptForward, pickUpstream, handleReply} from './forward_attempt.js';
@@ -143,6 +143,6 @@
     return;
   }
   // Only the owner knows whether the request has run.
-  finishRefused(state, exchange, 'deadlineAfterSend');
+  finishFailed(state, exchange, 'deadlineAfterSend');
   call.abort();
 }
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -35,6 +35,18 @@
   finishRefused(state, exchange, outcome ?? (hasLive ? 'full' : 'noUpstream'));
 }
 
+/** Ends a request whose last attempt failed: with the error answer of an earlier
+ * one, if there is any, else with a refusal. */
+export function finishFailed(
+  state: EntryState,
+  exchange: Exchange,
+  outcome: Outcome,
+): void {
+  const {errorAnswer} = exchange;
+  if (errorAnswer) finishAnswered(state, exchange, errorAnswer);
+  else finishRefused(state, exchange, outcome);
+}
+
 /** Sends an upstream's answer to the customer. */
 export function finishAnswered(
   state: EntryState,
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -16,7 +16,7 @@
 import {isLeaving, recordLeaving} from './announcements.js';
 import type {SidecarBoard} from './board.js';
 import {type EntryState, type Exchange, MAX_FORWARDS} from './exchange.js';
-import {finishAnswered, finishRefused, logResend} from './finish.js';
+import {finishAnswered, finishFailed, logResend} from './finish.js';
 import type {ForwardReply, ForwardRequest} from './forward.js';
 import {sendForward} from './forward_http.js';
 import type {HttpAnswer} from './http_client.js';
@@ -186,7 +186,7 @@
       exchange.attempts++;
       exchange.outcome = reply.outcome;
       if (!claimResend(state, exchange, isolated)) {
-        finishRefused(state, exchange, reply.outcome);
+        finishFailed(state, exchange, reply.outcome);
         return true;
       }
       logResend(state, exchange, reply.outcome, reply.code);
@@ -229,7 +229,7 @@
   if (!reachedUpstream) return false;
   exchange.attempts++;
   if (claimResend(state, exchange, isolated, true)) return false;
-  finishRefused(state, exchange, exchange.outcome);
+  finishFailed(state, exchange, exchange.outcome);
   return true;
 }
 
