End the wait for an upstream no fraction of a ms early

Five of 493 requests in a trial with real processes got 504 of the daemon up to 0.6 ms before their deadline, while the upstream was at work. Node cuts the time of a timer to whole ms and reads its clock in whole ms.

Change: the timer is rounded up and set 1 ms later.

--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -25,6 +25,9 @@
  * server closes later, so no request is sent on a closing connection. */
 const PEER_KEEP_ALIVE_MS = 10_000;
 
+/** Time by which a timer may fire early, ms: Node's timers count whole ones. */
+const TIMER_RESOLUTION_MS = 1;
+
 /** Handler of customers' requests. */
 export interface Entry {
   (req: IncomingMessage, res: ServerResponse, turn: RequestTurn): void;
@@ -116,7 +119,7 @@
   if (isolated) startIsolatedRun(board.suspects, exchange.fingerprint);
   exchange.cancelTimeout = setReplyTimeout(
     () => expire(state, exchange),
-    exchange.expiresAt - now,
+    Math.ceil(exchange.expiresAt - now) + TIMER_RESOLUTION_MS,
   );
   try {
     while (!exchange.ended) {
