--- a/__tests__/faulty_upstream.test.ts
+++ b/__tests__/faulty_upstream.test.ts
@@ -145,6 +145,22 @@
   t.is(other.runs.length, 0);
 });
 
+// The request that runs on the connection of the copy ends as broken, although
+// its own answer would follow.
+test.serial.failing('a late second copy does not end a request', async t => {
+  const {harness, own} = await startPair(t);
+  const headers = {'x-server-stamp': 'signed', 'x-request-id': 'a'};
+  const copy = formatAnswer('200 OK', headers, 'of a');
+  own.handle = (req, res) => answerOk(req, res, 'of a');
+  await harness.send(0, {...BOOKING, id: 'a'});
+  own.handle = (req, res) => {
+    req.socket.write(copy);
+    setTimeout(() => answerOk(req, res, 'of b'), 50);
+  };
+  const {status, body} = await harness.send(0, {...BOOKING, id: 'b'});
+  t.deepEqual({status, body}, {status: 200, body: 'of b'});
+});
+
 // A copy that comes while the connection is idle must not wait there for the
 // next request.
 test.serial('a second copy on an idle connection closes it', async t => {
