Announce the close with the last answer in the daemon

Callers that sent requests before the answer to an earlier one had arrived got none for them while their daemon stopped: each answer to a request read during the stop said connection: close, and those behind it were discarded. They had not run, as requests of a connection are served in order. An answer whose request began before the stop did not announce the close, so callers sent their next request on a connection that was about to end.

Cause: the header was set when a request began, whatever had been read behind it.

Change: the close is decided when the head of an answer is written, for answers, refusals and new keys, and announced only when no later request of the connection has been read.

--- a/src/daemon/attempt.ts
+++ b/src/daemon/attempt.ts
@@ -45,6 +45,8 @@
   readonly now: number;
   /** Called on the response headers of the owner, before the body. */
   onReply(load: ReportedLoad | undefined): void;
+  /** Called before the head of an answer is written. */
+  onAnswer(): void;
 }
 
 /** Sends a request to an owner once; streams the response to the customer. */
@@ -65,6 +67,7 @@
       refusal = readRefusal(headers);
       if (refusal) return true;
       responding = true;
+      options.onAnswer();
       res.writeHead(status, copyResponseHeaders(headers));
       return true;
     },
--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -27,7 +27,12 @@
   type Outcome,
 } from '../internal.js';
 import {startAttempt, type AttemptResult} from './attempt.js';
-import {refuse, type EntryState, type Exchange} from './exchange.js';
+import {
+  announceClose,
+  refuse,
+  type EntryState,
+  type Exchange,
+} from './exchange.js';
 import type {ForwardRequest} from './forward.js';
 import type {CustomerRequest} from './customer_request.js';
 
@@ -167,6 +172,7 @@
       if (!recordReply(board.routing, owner.id, load, now())) return;
       recordEvent(board.timeline, 'readmitted', {upstream: owner.id}, now());
     },
+    onAnswer: () => announceClose(state, exchange),
   });
   exchange.attempt = attempt;
   const result = await attempt.result;
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -27,7 +27,7 @@
   type Outcome,
   type Version,
 } from '../internal.js';
-import {HEADERS_OVERDUE} from './customer_server.js';
+import {HEADERS_OVERDUE, type RequestTurn} from './customer_server.js';
 import {dispatchRequest} from './dispatch.js';
 import {
   beginExchange,
@@ -50,7 +50,7 @@
 
 /** Request handler of the customer port. */
 export interface Entry {
-  (req: IncomingMessage, res: ServerResponse): void;
+  (req: IncomingMessage, res: ServerResponse, turn: RequestTurn): void;
   /** Refuses new requests; resolves when those in progress have ended. */
   stop(): Promise<void>;
   /** Answers malformed HTTP and ends the writing side. */
@@ -63,8 +63,12 @@
 export function createEntry(deps: EntryDeps): Entry {
   const forwarder = deps.forwarder ?? createForwarder();
   const state = createEntryState(deps, forwarder);
-  const handler = (req: IncomingMessage, res: ServerResponse): void => {
-    const exchange = beginExchange(state, req, res);
+  const handler = (
+    req: IncomingMessage,
+    res: ServerResponse,
+    turn: RequestTurn,
+  ): void => {
+    const exchange = beginExchange(state, req, res, turn);
     serveRequest(state, exchange).catch(() => {
       count(deps.board, 'entry_errors');
       // It is not known here whether a byte was sent.
@@ -219,7 +223,7 @@
   if (!owner) return refuse(state, exchange, 'noUpstream');
   const key = mintBoundKey(state, owner);
   count(state.deps.board, 'entry_keys_minted');
-  sendJson(exchange, 201, {key}, {[HEADERS.key]: key});
+  sendJson(state, exchange, 201, {key}, {[HEADERS.key]: key});
 }
 
 async function stopEntry(state: EntryState): Promise<void> {
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -11,6 +11,7 @@
   type Outcome,
 } from '../internal.js';
 import type {Attempt} from './attempt.js';
+import type {RequestTurn} from './customer_server.js';
 import type {Forwarder} from './forward.js';
 import {sendRefusal} from './http.js';
 import type {BodyBudget, CustomerRequest} from './customer_request.js';
@@ -54,6 +55,7 @@
   readonly id: string;
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
+  readonly turn: RequestTurn;
   readonly startedAt: number;
   deadlineAt: number;
   request?: CustomerRequest;
@@ -98,6 +100,7 @@
   state: EntryState,
   req: IncomingMessage,
   res: ServerResponse,
+  turn: RequestTurn,
 ): Exchange {
   const {board, now} = state.deps;
   const sequence = (++state.lastSequence).toString(36);
@@ -106,6 +109,7 @@
     id: `${board.self.id}-${board.self.boot.slice(0, 8)}-${sequence}`,
     req,
     res,
+    turn,
     startedAt,
     deadlineAt: Infinity,
     body: Buffer.alloc(0),
@@ -117,13 +121,23 @@
     finished: false,
   };
   count(board, 'entry_requests');
-  if (board.self.state === 'leaving') res.setHeader('connection', 'close');
   state.running.add(exchange);
   res.on('drain', () => exchange.attempt?.resume());
   res.once('close', () => endExchange(state, exchange));
   return exchange;
 }
 
+/**
+ * Tells a customer of a stopping daemon not to reuse the connection, unless later
+ * requests of it have been read. Called before the head of an answer is written.
+ */
+export function announceClose({deps}: EntryState, {res, turn}: Exchange): void {
+  const leaving = deps.board.self.state === 'leaving';
+  if (leaving && !res.headersSent && turn.isLast()) {
+    res.setHeader('connection', 'close');
+  }
+}
+
 function endExchange(state: EntryState, exchange: Exchange): void {
   const {board, now, onFinished} = state.deps;
   const {res} = exchange;
@@ -163,6 +177,7 @@
   count(board, `entry_refused_${OUTCOMES[outcome].verdict}`);
   recordRefusal(state, exchange, outcome);
   const {req, res} = exchange;
+  announceClose(state, exchange);
   sendRefusal(res, outcome, exchange.id, extraHeaders);
   if (req.complete) return;
   // Discarding the body lets the customer read the refusal instead of a reset.
@@ -202,6 +217,7 @@
 
 /** Sends a JSON response that is not a refusal. */
 export function sendJson(
+  state: EntryState,
   exchange: Exchange,
   status: number,
   value: unknown,
@@ -210,6 +226,7 @@
   const body = JSON.stringify(value);
   exchange.finished = true;
   exchange.result = 'answered';
+  announceClose(state, exchange);
   exchange.res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
