Count the wait for earlier answers in the daemon's deadlines

A request that had waited for the answer before it on its connection was given its whole time again: one with a deadline of 50 ms that had waited 100 ms was passed on, and its caller got 504 as one that may have run.

Cause: since requests of a connection are served in order, their start was the moment of service. The sidecar subtracts the wait; the daemon did not.

Change: a request starts when its head was read.

Evidence: the test in entry_http.test.ts failed before with deadline-after-send and a second request at the owner.

--- a/__tests__/entry_http.test.ts
+++ b/__tests__/entry_http.test.ts
@@ -247,6 +247,29 @@
   await stop();
 });
 
+// A request that had waited for the answer before it was given its whole time
+// again.
+test('the wait for earlier answers counts towards the deadline', async t => {
+  const {entry, owner, stop} = await startHarness();
+  let release = () => {};
+  owner.step =
+    ({headers}) =>
+    res => {
+      const id = String(headers['berylbend-id']);
+      res.writeHead(200, {'berylbend-id': id, 'berylbend-verdict': 'ran'});
+      release = () => res.end();
+    };
+  const read = `GET /read HTTP/1.1\r\n${HOST}`;
+  const deadline = 'berylbend-deadline-ms: 50\r\nconnection: close\r\n';
+  const text = sendRaw(entry.port, `${read}\r\n${read}${deadline}\r\n`);
+  await until(() => owner.seen.length > 0);
+  await new Promise(resolve => setTimeout(resolve, 100));
+  release();
+  t.regex(await text, /^HTTP\/1\.1 200 [^]*HTTP\/1\.1 504 [^]*before-send/);
+  t.is(owner.seen.length, 1);
+  await stop();
+});
+
 test.serial('a customer who sends a body too slowly is refused', async t => {
   const {entry, owner, stop} = await startHarness();
   const clock = FakeTimers.install({toFake: ['setTimeout', 'clearTimeout']});
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -135,7 +135,8 @@
   timeoutMs: number,
 ): void {
   exchange.deadlineAt = exchange.startedAt + timeoutMs;
-  if (timeoutMs <= 0) return refuse(state, exchange, 'deadlineBeforeSend');
+  const remainingMs = exchange.deadlineAt - state.deps.now();
+  if (remainingMs <= 0) return refuse(state, exchange, 'deadlineBeforeSend');
   exchange.timer = setTimeout(() => {
     if (exchange.attempt) {
       exchange.attempt.expire();
@@ -144,7 +145,7 @@
     const {outcome} = exchange;
     const combined = combineOutcomes(outcome, 'deadlineBeforeSend');
     refuse(state, exchange, combined);
-  }, timeoutMs);
+  }, remainingMs);
 }
 
 /** Refuses a key that cannot be used; returns true to proceed. */
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -56,6 +56,7 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly turn: RequestTurn;
+  /** Monotonic time at which the head was read, ms. */
   readonly startedAt: number;
   deadlineAt: number;
   request?: CustomerRequest;
@@ -104,7 +105,8 @@
 ): Exchange {
   const {board, now} = state.deps;
   const sequence = (++state.lastSequence).toString(36);
-  const startedAt = now();
+  // The time that a request waits for earlier answers counts as well.
+  const startedAt = now() - turn.waitedMs;
   const exchange: Exchange = {
     id: `${board.self.id}-${board.self.boot.slice(0, 8)}-${sequence}`,
     req,
