Answer what has arrived when the daemon closes its ports

A stopping daemon reset kept connections on which a request had arrived and was not read yet, at the customer, peer and admin ports. For an entry such a reset at the peer port counts as a broken connection, so a booking that had not run ends as one that may have run. A slow reader of the admin port got a part of its answer.

Cause: Node's server.close and closeIdleConnections close a connection on which no request is in progress, whatever is unread on it, and count a request as ended once res.end was called.

Change: all three ports are served by serveCustomers. They stop listening without closing anything, then end the connections on which nothing is in progress once their input is read. Peer and admin answers announce the close from the start of the stop. The answer to malformed HTTP moves to http.ts for the three of them; peers and operators get it instead of an empty 400.

Evidence: four tests of daemon_stop.test.ts failed before. With the request written in the turn of the event loop in which the ports close, none of the three was answered; of 12 MB of the admin port 3.9 MB arrived.

An answer of the admin port that began before the stop and lasts beyond the close of the ports keeps its connection until the idle timeout of 5 s.

--- a/__tests__/daemon_stop.test.ts
+++ b/__tests__/daemon_stop.test.ts
@@ -1,13 +1,21 @@
+import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import test, {type ExecutionContext} from 'ava';
-import {announceLeaving, HEADERS} from '../src/internal.js';
+import {DRAIN_NOTICE_MS} from '../src/daemon/daemon.js';
+import {announceLeaving, HEADERS, recordEvent} from '../src/internal.js';
 import {
+  block,
+  formatForward,
   formatRequest,
   listAnswers,
   openConnection,
+  startHarness,
 } from './support/daemon_harness.js';
 import {startEntry, startOwner, until} from './support/owner_fake.js';
 
+/** More than the buffers of a connection hold. */
+const LARGE_BYTES = 12_000_000;
+
 /** An entry and an owner that leaves the request `a` to the test. */
 async function startHeld(t: ExecutionContext) {
   const owner = await startOwner([], {id: 'u1'});
@@ -76,3 +84,63 @@
   t.deepEqual(listAnswers(customer.text), ['200 a', '503 -', '503 - close']);
   await stopped;
 });
+
+const ARRIVED = {
+  customer: {
+    first: formatRequest('a', 'GET /none'),
+    next: formatRequest('b', 'GET /none'),
+    expected: ['404 -', '503 - close'],
+  },
+  peer: {
+    first: formatForward('a', 0),
+    next: formatForward('b', 5_000),
+    expected: ['504 -', '503 - close'],
+  },
+  admin: {
+    first: formatRequest('a', 'GET /live'),
+    next: formatRequest('b', 'GET /live'),
+    expected: ['200 -', '200 - close'],
+  },
+};
+
+for (const [port, {first, next, expected}] of Object.entries(ARRIVED)) {
+  // A connection was closed as idle while a request that had arrived on it was
+  // unread; the reset told an entry that its request may have run.
+  test.serial(
+    `a stop answers what has arrived at the ${port} port`,
+    async t => {
+      const {stop, open} = await startHarness(t);
+      const connection = await open[port as keyof typeof ARRIVED]();
+      connection.socket.write(first);
+      await until(() => connection.text.includes('HTTP/1.1 '));
+      const closeAt = performance.now() + DRAIN_NOTICE_MS;
+      const stopped = stop();
+      await until(() => performance.now() > closeAt - 50);
+      connection.socket.write(next);
+      // Timers run before input, so the ports close before it is read.
+      block(100);
+      await connection.ended;
+      t.deepEqual(listAnswers(connection.text), expected);
+      connection.socket.end();
+      await stopped;
+    },
+  );
+}
+
+// Connections were counted as idle while the answer was still being written.
+test.serial('a stop does not cut an answer of the admin port', async t => {
+  const {board, stop, open} = await startHarness(t);
+  const connection = await open.admin();
+  const note = 'x'.repeat(LARGE_BYTES);
+  recordEvent(board.timeline, 'started', {note}, 0);
+  connection.socket.write(formatRequest('a', 'GET /timeline'));
+  await once(connection.socket, 'data');
+  connection.socket.pause();
+  const stopped = stop();
+  await new Promise(resolve => setTimeout(resolve, DRAIN_NOTICE_MS + 100));
+  connection.socket.resume();
+  await connection.ended;
+  t.true(connection.text.length > LARGE_BYTES, `${connection.text.length}`);
+  connection.socket.end();
+  await stopped;
+});
--- a/__tests__/support/daemon_harness.ts
+++ b/__tests__/support/daemon_harness.ts
@@ -109,9 +109,11 @@
     board,
     runs,
     stop,
-    openCustomer: () => open(customerPort),
-    openPeer: () => open(peerPort),
-    openAdmin: () => open(adminPort),
+    open: {
+      customer: () => open(customerPort),
+      peer: () => open(peerPort),
+      admin: () => open(adminPort),
+    },
     /** Waits until the upstream runs a request that is left to the test. */
     async hold(label: string): Promise<ServerResponse> {
       await until(() => held.has(label));
--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 
 /** Views served on the admin port; none of them changes state. */
@@ -11,13 +11,11 @@
   readMetrics(): Promise<string>;
 }
 
-/** Largest header block accepted on the admin port, bytes. */
-const MAX_ADMIN_HEADER_BYTES = 8_192;
-
-/** Creates the server of the admin port; the caller listens. */
-export function createAdmin(views: AdminViews): Server {
-  const server = createServer({maxHeaderSize: MAX_ADMIN_HEADER_BYTES});
-  const app = polka({server});
+/** Creates the handler of the admin port. */
+export function createAdmin(
+  views: AdminViews,
+): (req: IncomingMessage, res: ServerResponse) => void {
+  const app = polka();
   app.get('/live', (_req, res) => res.end('live\n'));
   app.get('/ready', (_req, res) => {
     const ready = views.isReady();
@@ -50,7 +48,5 @@
       },
     );
   });
-  // polka attaches its handler in listen(); the caller listens on the server.
-  server.on('request', app.handler.bind(app) as never);
-  return server;
+  return (req, res) => void app.handler(req as never, res);
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,5 @@
 import {randomBytes, randomInt} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
   announceLeaving,
@@ -25,8 +25,15 @@
   type Settings,
 } from '../internal.js';
 import {createAdmin} from './admin.js';
-import {serveCustomers} from './customer_server.js';
+import {
+  serveCustomers,
+  stopListening,
+  type CustomerConnections,
+  type CustomerHandlers,
+  type RequestTurn,
+} from './customer_server.js';
 import {createEntry} from './entry.js';
+import {answerClientError} from './http.js';
 import {createLinks} from './links.js';
 import {createLog, logEvent} from './log.js';
 import {createMetrics, recordLatency, renderMetrics} from './metrics.js';
@@ -41,6 +48,9 @@
 /** Largest header block accepted from customers and peers, bytes. */
 const MAX_SERVER_HEADER_BYTES = 16_384;
 
+/** Largest header block accepted on the admin port, bytes. */
+const MAX_ADMIN_HEADER_BYTES = 8_192;
+
 type EffectOf<K extends Effect['kind']> = Extract<Effect, {kind: K}>;
 
 /** Function that executes each kind of effect. */
@@ -48,6 +58,11 @@
   readonly [K in Effect['kind']]: (effect: EffectOf<K>) => void;
 };
 
+interface Port {
+  readonly server: Server;
+  readonly connections: CustomerConnections;
+}
+
 /** A running daemon. */
 export interface Daemon {
   readonly board: Board;
@@ -141,21 +156,24 @@
     }
   };
 
-  const customerServer = createServer({maxHeaderSize: MAX_SERVER_HEADER_BYTES});
-  serveCustomers(customerServer, {
+  const customerPort = createPort(MAX_SERVER_HEADER_BYTES, {
     handle: entry,
     answerError: entry.answerError,
   });
-  const peerServer = createServer({maxHeaderSize: MAX_SERVER_HEADER_BYTES});
-  peerServer.on('request', (req, res) => {
-    if (req.url?.startsWith(FORWARD_PREFIX)) {
-      owner(req, res);
-      return;
-    }
-    res.writeHead(404).end();
+  const announceClose = (res: ServerResponse, turn: RequestTurn): void => {
+    const leaving = board.self.state === 'leaving';
+    if (leaving && turn.isLast()) res.setHeader('connection', 'close');
+  };
+  const peerPort = createPort(MAX_SERVER_HEADER_BYTES, {
+    handle(req, res, turn) {
+      announceClose(res, turn);
+      if (req.url?.startsWith(FORWARD_PREFIX)) owner(req, res);
+      else res.writeHead(404).end();
+    },
+    answerError: answerClientError,
   });
-  links.attach(peerServer);
-  const adminServer = createAdmin({
+  links.attach(peerPort.server);
+  const serveAdmin = createAdmin({
     isReady: () => isReady(board) && owner.isReady(),
     readStatus: () => describeStatus(board, owner.readLoad(), now()),
     readDocument: () => board.config.inForce,
@@ -165,6 +183,13 @@
     }),
     readMetrics: () => renderMetrics(board, metrics, readGauges()),
   });
+  const adminPort = createPort(MAX_ADMIN_HEADER_BYTES, {
+    handle(req, res, turn) {
+      announceClose(res, turn);
+      serveAdmin(req, res);
+    },
+    answerError: answerClientError,
+  });
   const readGauges = (): Record<string, number> => {
     const load = owner.readLoad();
     return {
@@ -183,9 +208,9 @@
     };
   };
   const {listen} = settings;
-  await openPort(customerServer, listen.customerPort, listen.host);
-  await openPort(peerServer, listen.peerPort, listen.host);
-  await openPort(adminServer, listen.adminPort, listen.adminHost);
+  await openPort(customerPort, listen.customerPort, listen.host);
+  await openPort(peerPort, listen.peerPort, listen.host);
+  await openPort(adminPort, listen.adminPort, listen.adminHost);
   recordEvent(board.timeline, 'started', {boot: board.self.boot}, now());
   const tick = (): void => {
     runEffects(handleTick(board, now()));
@@ -203,8 +228,7 @@
     clearInterval(tickTimer);
     abortController.abort();
     await links.stop();
-    const servers = [customerServer, peerServer, adminServer];
-    await Promise.all(servers.map(closePort));
+    await Promise.all([customerPort, peerPort, adminPort].map(closePort));
   };
   return {board, stop};
 }
@@ -229,7 +253,12 @@
   };
 }
 
-function openPort(server: Server, port: number, host: string): Promise<void> {
+function createPort(maxHeaderSize: number, handlers: CustomerHandlers): Port {
+  const server = createServer({maxHeaderSize});
+  return {server, connections: serveCustomers(server, handlers)};
+}
+
+function openPort({server}: Port, port: number, host: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
@@ -239,9 +268,9 @@
   });
 }
 
-function closePort(server: Server): Promise<void> {
-  return new Promise(resolve => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+/** Answers what has arrived; resolves when all connections have ended. */
+function closePort({server, connections}: Port): Promise<void> {
+  const closed = stopListening(server);
+  connections.closeIdle();
+  return closed;
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,33 +1,25 @@
 import {randomUUID} from 'node:crypto';
-import {
-  STATUS_CODES,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
   HEADERS,
   KEYS_PATH,
   KEY_LIFETIME_MS,
-  OUTCOMES,
   checkPause,
   chooseUpstream,
   combineOutcomes,
   computeFingerprint,
   count,
   findCandidates,
-  formatReason,
   listMembers,
   matchRoute,
   mintKey,
   normalizePath,
   parseKey,
-  VERDICT_HEADER_VALUES,
   type MemberRecord,
-  type Outcome,
   type Version,
 } from '../internal.js';
-import {HEADERS_OVERDUE, type RequestTurn} from './customer_server.js';
+import type {RequestTurn} from './customer_server.js';
 import {dispatchRequest} from './dispatch.js';
 import {
   beginExchange,
@@ -39,6 +31,7 @@
   type Exchange,
 } from './exchange.js';
 import {createForwarder} from './forward.js';
+import {answerClientError} from './http.js';
 import {
   bufferBody,
   checkHead,
@@ -235,38 +228,11 @@
   await state.forwarder.close();
 }
 
-const CLIENT_ERRORS: Record<string, {outcome: Outcome; status: number}> = {
-  HPE_HEADER_OVERFLOW: {outcome: 'tooLarge', status: 431},
-  [HEADERS_OVERDUE]: {outcome: 'badRequest', status: 408},
-};
-
 function respondToClientError(
   state: EntryState,
   err: Error,
   socket: Duplex,
 ): void {
   count(state.deps.board, 'entry_bad_http');
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const {code = ''} = err as NodeJS.ErrnoException;
-  const rule = CLIENT_ERRORS[code];
-  const outcome = rule?.outcome ?? 'badRequest';
-  const status = rule?.status ?? OUTCOMES[outcome].status;
-  const verdict = VERDICT_HEADER_VALUES[OUTCOMES[outcome].verdict];
-  const reason = formatReason(outcome);
-  const body = JSON.stringify({error: reason, verdict});
-  socket.end(
-    [
-      `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
-      'content-type: application/json',
-      `content-length: ${body.length}`,
-      `${HEADERS.verdict}: ${verdict}`,
-      `${HEADERS.reason}: ${reason}`,
-      'connection: close',
-      '',
-      body,
-    ].join('\r\n'),
-  );
+  answerClientError(err, socket);
 }
--- a/src/daemon/http.ts
+++ b/src/daemon/http.ts
@@ -1,4 +1,9 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  STATUS_CODES,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
 import {
   formatReason,
   HEADERS,
@@ -6,6 +11,7 @@
   VERDICT_HEADER_VALUES,
   type Outcome,
 } from '../internal.js';
+import {HEADERS_OVERDUE} from './customer_server.js';
 
 /** Largest request body that a daemon buffers, bytes. */
 export const MAX_BODY_BYTES = 1_048_576;
@@ -38,6 +44,38 @@
   res.end(body);
 }
 
+const CLIENT_ERRORS: Record<string, {outcome: Outcome; status: number}> = {
+  HPE_HEADER_OVERFLOW: {outcome: 'tooLarge', status: 431},
+  [HEADERS_OVERDUE]: {outcome: 'badRequest', status: 408},
+};
+
+/** Answers malformed or overdue HTTP and ends the writing side. */
+export function answerClientError(err: Error, socket: Duplex): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const {code = ''} = err as NodeJS.ErrnoException;
+  const rule = CLIENT_ERRORS[code];
+  const outcome = rule?.outcome ?? 'badRequest';
+  const status = rule?.status ?? OUTCOMES[outcome].status;
+  const verdict = VERDICT_HEADER_VALUES[OUTCOMES[outcome].verdict];
+  const reason = formatReason(outcome);
+  const body = JSON.stringify({error: reason, verdict});
+  socket.end(
+    [
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+      'content-type: application/json',
+      `content-length: ${body.length}`,
+      `${HEADERS.verdict}: ${verdict}`,
+      `${HEADERS.reason}: ${reason}`,
+      'connection: close',
+      '',
+      body,
+    ].join('\r\n'),
+  );
+}
+
 /** Reads a complete request body; undefined when it exceeds the limit. */
 export async function readBody(
   req: IncomingMessage,
