Let the owner await the upstream until the entry's deadline

Callers of the daemon got 504 while the upstream was at work, up to 50 ms before their deadline or the route's timeout had passed: after 579 ms of 600. An upstream that answers 504 at the deadline it was given always lost the race against its owner.

Cause: the entry hands its owner a deadline that is shorter by a margin, so that the owner can report in time that a queued request was not run. The owner ended running requests at it too.

Change: the shorter deadline bounds the wait in the queue and is what the upstream is given. From its start on, a request or the repeat of a key that waits for its run may last 50 ms longer; the entry closes the connection at its own deadline. Nothing changes on the wire.

--- a/src/core/retry.ts
+++ b/src/core/retry.ts
@@ -64,6 +64,26 @@
   return /^\d{1,3}$/.test(text) ? Math.max(1, Number(text)) : undefined;
 }
 
+/** Largest margin between the deadlines of the owner and the entry, ms. */
+export const MAX_OWNER_MARGIN_MS = 50;
+
+/** Margin as a share of the remaining time, for short deadlines. */
+const OWNER_MARGIN_SHARE = 0.1;
+
+/**
+ * Deadline passed to the owner and its upstream, ms. It ends before the entry's
+ * own, so that the owner can report in time that a queued request was not run,
+ * and the upstream can answer in time. With one deadline for both, most requests
+ * that expired in the queue were reported as possibly run.
+ */
+export function computeOwnerDeadline(remainingMs: number): number {
+  const marginMs = Math.min(
+    MAX_OWNER_MARGIN_MS,
+    remainingMs * OWNER_MARGIN_SHARE,
+  );
+  return Math.max(1, Math.floor(remainingMs - marginMs));
+}
+
 /**
  * Computes the timeout of a request, ms: the lower of the route's timeout and
  * the caller's remaining time; undefined when the header is malformed.
--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -5,6 +5,7 @@
   startIsolatedRun,
   chooseUpstream,
   combineOutcomes,
+  computeOwnerDeadline,
   count,
   shouldRetry,
   endIsolatedRun,
@@ -42,12 +43,6 @@
 /** Checks of a waiting suspect request before its refusal; 1 s in total. */
 const MAX_SUSPECT_POLLS = 50;
 
-/** Largest margin between the deadlines of the owner and the entry, ms. */
-const MAX_OWNER_MARGIN_MS = 50;
-
-/** Margin as a share of the remaining time, for short deadlines. */
-const OWNER_MARGIN_SHARE = 0.1;
-
 /** Outcomes after which an owner is treated as full for a while. */
 const UNAVAILABLE = new Set<Outcome>([
   'dataCentreOut',
@@ -181,20 +176,6 @@
   return result;
 }
 
-/**
- * Deadline passed to the owner, ms. It ends before the entry's own, so that the
- * owner can report in time that a queued request was not run. With one deadline
- * for both, most requests that expired in the queue were reported as possibly
- * run.
- */
-function computeOwnerDeadline(remainingMs: number): number {
-  const marginMs = Math.min(
-    MAX_OWNER_MARGIN_MS,
-    remainingMs * OWNER_MARGIN_SHARE,
-  );
-  return Math.max(1, Math.floor(remainingMs - marginMs));
-}
-
 function buildForwardRequest(
   state: EntryState,
   exchange: Exchange,
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -16,6 +16,7 @@
 import {parseForward, type ForwardedRequest} from './owner_forward.js';
 import {MAX_BODY_BYTES, readBody, readHeader} from './http.js';
 import {
+  awaitAnswer,
   isPastDeadline,
   refuseCall,
   runCall,
@@ -109,16 +110,16 @@
 ): Call {
   const abort = new AbortController();
   const deadlineAt = owner.now() + forward.deadlineMs;
-  const call: Call = {req, res, forward, deadlineAt, abort};
-  owner.active.add(call);
   const timer = setTimeout(() => abort.abort('deadline'), forward.deadlineMs);
+  const call: Call = {req, res, forward, deadlineAt, abort, timer};
+  owner.active.add(call);
   res.once('close', () => {
     owner.active.delete(call);
     if (owner.active.size === 0) owner.onIdle?.();
     // Repeats of the key may still wait for this run: keep it running, and
     // keep its deadline timer.
     if (!res.writableFinished && call.record && call.record.waiters > 0) return;
-    clearTimeout(timer);
+    clearTimeout(call.timer);
     if (!res.writableFinished) abort.abort('cancelled');
   });
   return call;
@@ -217,6 +218,7 @@
   record: KeyRecord,
 ): Promise<boolean> {
   const {signal} = call.abort;
+  awaitAnswer(owner, call);
   record.waiters++;
   count(owner.board, 'forward_key_joins');
   const gone = new Promise<'gone'>(resolve => {
--- a/src/daemon/owner_call.ts
+++ b/src/daemon/owner_call.ts
@@ -5,6 +5,7 @@
   formatLoad,
   formatReason,
   HEADERS,
+  MAX_OWNER_MARGIN_MS,
   MAX_RECORDED_BYTES,
   readLoad,
   submit,
@@ -45,10 +46,12 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly forward: ForwardedRequest;
-  /** Monotonic time, ms. */
+  /** Monotonic time after which it does not start, ms. */
   readonly deadlineAt: number;
   /** Aborted with 'deadline' or 'cancelled'. */
   readonly abort: AbortController;
+  /** Aborts it at its deadline. */
+  timer: NodeJS.Timeout;
   /** Record of the idempotency key, if this call is the run of that key. */
   record?: KeyRecord;
 }
@@ -125,6 +128,18 @@
   };
 }
 
+/**
+ * Lets a call wait for the answer of the upstream until the entry's own deadline,
+ * at which the entry closes the connection.
+ */
+export function awaitAnswer(ctx: CallContext, call: Call): void {
+  const {abort, deadlineAt} = call;
+  if (abort.signal.aborted) return;
+  clearTimeout(call.timer);
+  const ms = deadlineAt + MAX_OWNER_MARGIN_MS - ctx.now();
+  call.timer = setTimeout(() => abort.abort('deadline'), ms);
+}
+
 /** True if the call was aborted by its deadline, not by cancellation. */
 export function isPastDeadline(call: Call): boolean {
   return call.abort.signal.reason === 'deadline';
@@ -155,6 +170,7 @@
 ): Promise<CallResult> {
   const {forward, req, abort} = call;
   const remainingMs = call.deadlineAt - ctx.now();
+  awaitAnswer(ctx, call);
   const request = {
     method: forward.method,
     path: forward.path,
