Read what has arrived before a deadline of the daemon ends a request

A daemon that was busy or paused across a deadline answered 504 though the answer of the upstream had arrived before, at the entry and at the owner.

The sidecar uses setReplyTimeout for that; the daemon's deadlines were plain timers.

Change: both deadlines read what has arrived first. No attempt starts after the deadline: a body that is read in between ends as not run.

Evidence: two tests of daemon_deadline.test.ts failed before, 504 in place of an answer that had arrived 100 ms before the deadline of a paused process. The third passed before; without the new check before an attempt it fails, as the refusal names an upstream (nothing was sent to it).

--- a/__tests__/daemon_deadline.test.ts
+++ b/__tests__/daemon_deadline.test.ts
@@ -1,11 +1,13 @@
 import test from 'ava';
 import {HEADERS} from '../src/internal.js';
 import {
+  block,
   formatForward,
   listAnswers,
+  openConnection,
   startHarness,
 } from './support/daemon_harness.js';
-import {until} from './support/owner_fake.js';
+import {call, startEntry, startOwner, until} from './support/owner_fake.js';
 
 const DEADLINE_MS = 600;
 
@@ -44,3 +46,64 @@
   await until(() => peer.text.includes('\r\n\r\n'));
   t.deepEqual(listAnswers(peer.text), ['504 a']);
 });
+
+const PAUSE_AT_MS = 300;
+
+// Timers run before input: an answer that had arrived in time was replaced.
+test.serial('an answer that arrived before the deadline is sent', async t => {
+  const owner = await startOwner([], {id: 'u1'});
+  const entry = await startEntry([owner.record]);
+  let held: (() => void) | undefined;
+  owner.step =
+    ({headers}) =>
+    res => {
+      const id = String(headers[HEADERS.id]);
+      const answer = {[HEADERS.id]: id, [HEADERS.verdict]: 'ran'};
+      held = () => res.writeHead(200, answer).end('hello');
+    };
+  const headers = {[HEADERS.deadlineMs]: String(PAUSE_AT_MS + 100)};
+  const sentAt = performance.now();
+  const reply = call(entry.port, 'GET', '/read', {headers});
+  await until(() => performance.now() > sentAt + PAUSE_AT_MS);
+  held!();
+  block(200);
+  t.is((await reply).body, 'hello');
+  await entry.stop();
+  await owner.stop();
+});
+
+// As above, for the answer of an upstream to its owner.
+test.serial('an upstream that answered in time is not given up', async t => {
+  const {open, hold} = await startHarness(t, ['a']);
+  const peer = await open.peer();
+  const sentAt = performance.now();
+  peer.socket.write(formatForward('a', PAUSE_AT_MS + 100));
+  const res = await hold('a');
+  await until(() => performance.now() > sentAt + PAUSE_AT_MS);
+  res.end('hello');
+  block(200);
+  await until(() => peer.text.includes('\r\n\r\n'));
+  t.deepEqual(listAnswers(peer.text), ['200 a']);
+});
+
+// A body that is read after the deadline must not start an attempt.
+test.serial('nothing is passed on once the deadline has passed', async t => {
+  const owner = await startOwner([], {id: 'u1'});
+  const entry = await startEntry([owner.record]);
+  const customer = await openConnection(t, entry.port);
+  const head = ['POST /book HTTP/1.1', 'host: x', 'content-length: 5'];
+  const deadline = `${HEADERS.deadlineMs}: ${PAUSE_AT_MS + 100}`;
+  const sentAt = performance.now();
+  customer.socket.write([...head, deadline, '\r\n'].join('\r\n'));
+  await until(() => performance.now() > sentAt + PAUSE_AT_MS);
+  customer.socket.write('order');
+  entry.now = PAUSE_AT_MS + 200;
+  block(200);
+  await until(() => customer.text.includes('\r\n\r\n'));
+  t.regex(customer.text, /^HTTP\/1\.1 504 [^]*deadline-before-send/);
+  t.is(entry.board.timeline.events.at(-1)?.detail.upstream, '');
+  t.deepEqual(owner.seen, []);
+  customer.socket.destroy();
+  await entry.stop();
+  await owner.stop();
+});
--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -63,6 +63,12 @@
   while (!exchange.finished) {
     const decision = await awaitSuspectDecision(state, exchange);
     if (exchange.finished) return;
+    // Input may be read between the deadline and the end of the request.
+    if (state.deps.now() >= exchange.deadlineAt) {
+      const {outcome} = exchange;
+      refuse(state, exchange, combineOutcomes(outcome, 'deadlineBeforeSend'));
+      return;
+    }
     if (decision.action === 'refuse' || decision.action === 'wait') {
       refuseSuspect(state, exchange, decision);
       return;
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -16,6 +16,7 @@
   mintKey,
   normalizePath,
   parseKey,
+  setReplyTimeout,
   type MemberRecord,
   type Version,
 } from '../internal.js';
@@ -130,7 +131,7 @@
   exchange.deadlineAt = exchange.startedAt + timeoutMs;
   const remainingMs = exchange.deadlineAt - state.deps.now();
   if (remainingMs <= 0) return refuse(state, exchange, 'deadlineBeforeSend');
-  exchange.timer = setTimeout(() => {
+  exchange.cancelTimeout = setReplyTimeout(() => {
     if (exchange.attempt) {
       exchange.attempt.expire();
       return;
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -73,7 +73,8 @@
   /** Upstream of the latest attempt. */
   upstream: string;
   attempt?: Attempt;
-  timer?: NodeJS.Timeout;
+  /** Cancels the end of the request at its deadline. */
+  cancelTimeout?: () => void;
   /** True once the request is answered or refused or the customer is gone. */
   finished: boolean;
   result?: Outcome | 'cut';
@@ -144,7 +145,7 @@
   const {board, now, onFinished} = state.deps;
   const {res} = exchange;
   exchange.finished = true;
-  clearTimeout(exchange.timer);
+  exchange.cancelTimeout?.();
   state.bodyBudget.bytes -= exchange.body.length;
   // The customer closed the connection before the response was complete.
   if (!res.writableFinished) {
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -8,6 +8,7 @@
   observeHlc,
   parseHlc,
   readLoad,
+  setReplyTimeout,
   type BoundKey,
   type KeyRecord,
   type LoadHint,
@@ -110,8 +111,9 @@
 ): Call {
   const abort = new AbortController();
   const deadlineAt = owner.now() + forward.deadlineMs;
-  const timer = setTimeout(() => abort.abort('deadline'), forward.deadlineMs);
-  const call: Call = {req, res, forward, deadlineAt, abort, timer};
+  const expire = () => abort.abort('deadline');
+  const cancelTimeout = setReplyTimeout(expire, forward.deadlineMs);
+  const call: Call = {req, res, forward, deadlineAt, abort, cancelTimeout};
   owner.active.add(call);
   res.once('close', () => {
     owner.active.delete(call);
@@ -119,7 +121,7 @@
     // Repeats of the key may still wait for this run: keep it running, and
     // keep its deadline timer.
     if (!res.writableFinished && call.record && call.record.waiters > 0) return;
-    clearTimeout(call.timer);
+    call.cancelTimeout();
     if (!res.writableFinished) abort.abort('cancelled');
   });
   return call;
--- a/src/daemon/owner_call.ts
+++ b/src/daemon/owner_call.ts
@@ -8,6 +8,7 @@
   MAX_OWNER_MARGIN_MS,
   MAX_RECORDED_BYTES,
   readLoad,
+  setReplyTimeout,
   submit,
   VERDICT_HEADER_VALUES,
   type Admission,
@@ -50,8 +51,8 @@
   readonly deadlineAt: number;
   /** Aborted with 'deadline' or 'cancelled'. */
   readonly abort: AbortController;
-  /** Aborts it at its deadline. */
-  timer: NodeJS.Timeout;
+  /** Cancels the abort at its deadline. */
+  cancelTimeout: () => void;
   /** Record of the idempotency key, if this call is the run of that key. */
   record?: KeyRecord;
 }
@@ -135,9 +136,9 @@
 export function awaitAnswer(ctx: CallContext, call: Call): void {
   const {abort, deadlineAt} = call;
   if (abort.signal.aborted) return;
-  clearTimeout(call.timer);
+  call.cancelTimeout();
   const ms = deadlineAt + MAX_OWNER_MARGIN_MS - ctx.now();
-  call.timer = setTimeout(() => abort.abort('deadline'), ms);
+  call.cancelTimeout = setReplyTimeout(() => abort.abort('deadline'), ms);
 }
 
 /** True if the call was aborted by its deadline, not by cancellation. */
