Read what has arrived before a refused body of the daemon is given up

A customer that was still sending the body of a refused request got its connection reset 2 s after the refusal, though the rest of the body and a next request had arrived before, during a pause of the daemon. Neither the refused nor the next request had been passed on.

Cause: as for the deadlines, a plain timer runs before input.

Change: setReplyTimeout. Evidence: the test in daemon_deadline.test.ts failed before, with one answer of two.

--- a/__tests__/daemon_deadline.test.ts
+++ b/__tests__/daemon_deadline.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
+import {MAX_BODY_DISCARD_MS} from '../src/daemon/exchange.js';
 import {HEADERS} from '../src/internal.js';
 import {
   block,
   formatForward,
+  formatRequest,
   listAnswers,
   openConnection,
   startHarness,
@@ -53,6 +55,10 @@
 test.serial('an answer that arrived before the deadline is sent', async t => {
   const owner = await startOwner([], {id: 'u1'});
   const entry = await startEntry([owner.record]);
+  t.teardown(async () => {
+    await entry.stop();
+    await owner.stop();
+  });
   let held: (() => void) | undefined;
   owner.step =
     ({headers}) =>
@@ -68,8 +74,6 @@
   held!();
   block(200);
   t.is((await reply).body, 'hello');
-  await entry.stop();
-  await owner.stop();
 });
 
 // As above, for the answer of an upstream to its owner.
@@ -86,10 +90,31 @@
   t.deepEqual(listAnswers(peer.text), ['200 a']);
 });
 
+// The connection was reset with the rest of the body and a request unread.
+test.serial('a body that ended in time after a refusal is read', async t => {
+  const entry = await startEntry([]);
+  t.teardown(entry.stop);
+  const customer = await openConnection(t, entry.port);
+  const head = ['POST /none HTTP/1.1', 'host: x', 'content-length: 5', '\r\n'];
+  customer.socket.write(head.join('\r\n'));
+  await until(() => customer.text.includes('\r\n\r\n'));
+  const refusedAt = performance.now();
+  await until(() => performance.now() > refusedAt + MAX_BODY_DISCARD_MS - 100);
+  customer.socket.write(`order${formatRequest('b', 'GET /none')}`);
+  block(200);
+  const list = () => listAnswers(customer.text);
+  await until(() => list().length === 2 || customer.socket.destroyed);
+  t.deepEqual(list(), ['404 -', '404 -']);
+});
+
 // A body that is read after the deadline must not start an attempt.
 test.serial('nothing is passed on once the deadline has passed', async t => {
   const owner = await startOwner([], {id: 'u1'});
   const entry = await startEntry([owner.record]);
+  t.teardown(async () => {
+    await entry.stop();
+    await owner.stop();
+  });
   const customer = await openConnection(t, entry.port);
   const head = ['POST /book HTTP/1.1', 'host: x', 'content-length: 5'];
   const deadline = `${HEADERS.deadlineMs}: ${PAUSE_AT_MS + 100}`;
@@ -103,7 +128,4 @@
   t.regex(customer.text, /^HTTP\/1\.1 504 [^]*deadline-before-send/);
   t.is(entry.board.timeline.events.at(-1)?.detail.upstream, '');
   t.deepEqual(owner.seen, []);
-  customer.socket.destroy();
-  await entry.stop();
-  await owner.stop();
 });
--- a/src/daemon/exchange.ts
+++ b/src/daemon/exchange.ts
@@ -6,6 +6,7 @@
   formatReason,
   resolveBoundKeyOutcome,
   recordEvent,
+  setReplyTimeout,
   type Board,
   type Effect,
   type Outcome,
@@ -17,7 +18,7 @@
 import type {BodyBudget, CustomerRequest} from './customer_request.js';
 
 /** Time a customer may continue to send a body after a refusal, ms. */
-const MAX_BODY_DISCARD_MS = 2_000;
+export const MAX_BODY_DISCARD_MS = 2_000;
 
 /** Refusals recorded on the time line per second; more are only counted. */
 const REFUSAL_EVENTS_PER_S = 20;
@@ -185,10 +186,10 @@
   if (req.complete) return;
   // Discarding the body lets the customer read the refusal instead of a reset.
   req.resume();
-  const timer = setTimeout(() => {
+  const cancelTimeout = setReplyTimeout(() => {
     if (!req.complete) req.destroy();
   }, MAX_BODY_DISCARD_MS);
-  req.once('close', () => clearTimeout(timer));
+  req.once('close', cancelTimeout);
 }
 
 function recordRefusal(
