Let equal options of the soak choose the same faults

Two runs of seed 3 on one code (6 s) injected different faults: customers, the store stand-in and the upstreams drew from the generator that selects the faults, as often as the timing of requests had it. A seed could not be rerun.

The faults now have a generator of their own.

--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -84,7 +84,10 @@
   readonly storeProxies: FaultProxy[];
   readonly appProxies: FaultProxy[];
   readonly checker: Checker;
+  /** Selects the faults. */
   readonly random: () => number;
+  /** Selects requests and the answers of store and upstreams. */
+  readonly trafficRandom: () => number;
   readonly now: () => number;
   /** Monotonic time until which the store is disrupted, ms. */
   disruptedUntil: number;
@@ -107,7 +110,7 @@
     for (const daemon of harness.daemons) daemon.signal('SIGKILL');
   };
   process.once('exit', killDaemons);
-  const {daemons, checker, upstreams, random, now} = harness;
+  const {daemons, checker, upstreams, random, trafficRandom, now} = harness;
   try {
     await waitUntilReady(harness);
     const services = new Map(
@@ -118,7 +121,7 @@
       services,
       checker,
       options.requestsPerSecond,
-      random,
+      trafficRandom,
       now,
     );
     const stopProbes = daemons.map((daemon, i) =>
@@ -145,6 +148,8 @@
   dir: string,
 ): Promise<Harness> {
   const random = createRandom(options.seed);
+  // Draws that depend on the timing of requests would change the faults.
+  const trafficRandom = createRandom(~options.seed);
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const isStable = () => now() > harness.disruptedUntil + RECOVERY_MS;
@@ -160,10 +165,10 @@
     store,
     storeHost,
     PORTS.app,
-    random,
+    trafficRandom,
   );
   const harness: Harness = {
-    ...{store, storeServer, checker, random, now},
+    ...{store, storeServer, checker, random, trafficRandom, now},
     ...{daemons: [], upstreams: [], storeProxies: [], appProxies: []},
     ...{faults: [], pendingRecoveries: new Set()},
     disruptedUntil: -Infinity,
@@ -179,7 +184,7 @@
     const service = i % 6 < 3 ? 'a' : 'b';
     const upstream = new Upstream(
       ...([`u${i}`, service, zone, host, PORTS.app, PORTS.appProxy] as const),
-      ...([store, checker, random, now] as const),
+      ...([store, checker, trafficRandom, now] as const),
     );
     await upstream.start();
     harness.upstreams.push(upstream);
