Let the soak keep several requests in flight on a connection

Callers with several requests in flight got no answer to those behind the first one that a stopping daemon gave, and others got 504 of the daemon before their deadline while the upstream was at work.

Change: raw connections with two to four requests in flight that send on until they end, besides the customers of before; 2 in 100 runs of an upstream last until about the deadline that it received and get 504 with its signature after it. LOST also covers an own answer before the deadline while the upstream is at work; an answer whose id is another request's is MIXED. SIGTERM hits two or three daemons in 30 of 100 stops, of those that are not stopping yet, and leaves half of them. A stopped daemon starts 100 ms after its end, so that the end of its connections is not taken for a disruption.

An upstream that restarts no longer counts down runs of the incarnation before, which took its number of runs below zero.

--- a/__tests__/soak.test.ts
+++ b/__tests__/soak.test.ts
@@ -17,18 +17,33 @@
 /** Kinds that bring back what the review found (docs/incidents/issue-40-*). */
 const REVIEW_KINDS = ['resetAnswers', 'strayAnswers', 'oddEntries', 'cutWatch'];
 
+/** Kinds around which requests in flight were lost. */
+const FLIGHT_KINDS = ['term', 'reload', 'config', 'drain'];
+
 const RUNS = [
-  ...SEEDS.map(seed => ({name: 'random faults', seed, kinds: KINDS})),
-  {name: 'the faults of the review', seed: 2, kinds: REVIEW_KINDS},
+  ...SEEDS.map(seed => ({
+    ...{name: 'random faults', seed, kinds: KINDS},
+    ...{seconds: 5, connections: 0},
+  })),
+  {
+    ...{name: 'the faults of the review', seed: 2, kinds: REVIEW_KINDS},
+    ...{seconds: 5, connections: 0},
+  },
+  {
+    // A stop closed connections that had more requests in flight (issue 43).
+    ...{name: 'several requests in flight', seed: 3, kinds: FLIGHT_KINDS},
+    ...{seconds: 8, connections: 2},
+  },
 ];
 
-for (const {name, seed, kinds} of RUNS) {
+for (const {name, seed, kinds, seconds, connections} of RUNS) {
   test.serial(`guarantees hold under ${name}: seed ${seed}`, async t => {
     t.timeout(120_000);
     const result = await runSoak({
       seed,
       kinds,
-      seconds: 5,
+      seconds,
+      connections,
       daemons: 6,
       requestsPerSecond: 40,
       // Bounds on time need a machine with a known load.
--- a/__tests__/soak_checker.test.ts
+++ b/__tests__/soak_checker.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {type Bounds, Checker} from '../soak/checker.js';
+import {type Bounds, Checker, type ReceivedAnswer} from '../soak/checker.js';
 
 const BOUNDS: Bounds = {
   drainMs: 2_000,
@@ -12,14 +12,15 @@
 };
 
 function createChecker() {
-  const state = {at: 0, stable: true};
+  const state = {at: 0, stable: true, atWork: ''};
   const checker = new Checker(
     BOUNDS,
     () => state.at,
     () => state.stable,
+    id => id === state.atWork,
   );
   const booking = {id: 'r1', path: '/book/1', body: 'b', caller: 'a'};
-  checker.recordSent({...booking, idempotent: false});
+  checker.recordSent({...booking, idempotent: false}, 900);
   const answer = {stamp: 'signed r1', body: 'body of r1', cut: false};
   const getRules = () => checker.violations.map(line => line.split(' ')[2]);
   return {state, checker, booking, answer, getRules};
@@ -67,10 +68,40 @@
   t.deepEqual(getRules(), ['MIXED:', 'LOST:', 'DENIED:']);
 });
 
+// A daemon gave up requests while their upstreams worked on them (issue 43).
+test('an own answer before the deadline is reported while the upstream works', t => {
+  const {state, checker, getRules} = createChecker();
+  const own = {status: 504, body: '', cut: false};
+  const record = (answer: ReceivedAnswer, at: number, atWork: string) => {
+    Object.assign(state, {at, atWork});
+    checker.recordAnswer('r1', answer, false);
+  };
+  record(own, 899, '');
+  record(own, 900, 'r1');
+  record({...own, stamp: 'signed r1'}, 899, 'r1');
+  record({...own, status: 503}, 899, 'r1');
+  t.deepEqual(getRules(), []);
+  record(own, 899, 'r1');
+  t.deepEqual(getRules(), ['LOST:']);
+  checker.recordAnswer('r1', own, true);
+  t.is(getRules().length, 1);
+});
+
+// Answers of a connection with several requests in flight could change places.
+test('an answer that states another request is reported', t => {
+  const {checker, getRules} = createChecker();
+  const refused = {status: 503, body: '', cut: false};
+  checker.recordAnswer('r1', {...refused, requestId: 'r1'}, false);
+  t.deepEqual(getRules(), []);
+  checker.recordAnswer('r1', {...refused, requestId: 'r2'}, false);
+  checker.reportStray('d', 200);
+  t.deepEqual(getRules(), ['MIXED:', 'MIXED:']);
+});
+
 test('resends beyond the budget are reported', t => {
   const {state, checker, getRules} = createChecker();
   const read = {id: 'r2', path: '/read/1', body: '', caller: 'a'};
-  checker.recordSent({...read, idempotent: true});
+  checker.recordSent({...read, idempotent: true}, 900);
   for (let i = 0; i < 3; i++) checker.recordArrival('u', read);
   t.deepEqual(getRules(), []);
   checker.recordArrival('u', read);
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -13,12 +13,16 @@
   readonly status: number;
   readonly stamp?: string;
   readonly body: string;
+  /** Request that the answer states to belong to. */
+  readonly requestId?: string;
   /** True when the answer ended before its announced length. */
   readonly cut: boolean;
 }
 
 interface TrackedRequest {
   readonly request: SentRequest;
+  /** Monotonic time until which the customer waits for its answer, ms. */
+  readonly waitsUntil: number;
   runs: number;
   arrivals: number;
   /** True once a status has stated that the request never runs. */
@@ -52,6 +56,8 @@
     private readonly now: () => number,
     /** True when store and connections have been healthy for a while. */
     private readonly isStable: () => boolean,
+    /** True while an upstream, undisturbed on its way, works on a request. */
+    private readonly isAtWork: (id: string) => boolean,
   ) {}
 
   #report(rule: string, detail: string): void {
@@ -59,10 +65,12 @@
     this.violations.push(`${at} s ${rule}: ${detail}`);
   }
 
-  /** Records a request before it is sent. */
-  recordSent(request: SentRequest): void {
+  /** Records a request before it is sent; `waitMs` is the time until the
+   * deadline of the customer or the route, whichever ends first. */
+  recordSent(request: SentRequest, waitMs: number): void {
     this.#requests.set(request.id, {
       request,
+      waitsUntil: this.now() + waitMs,
       runs: 0,
       arrivals: 0,
       refused: false,
@@ -108,7 +116,7 @@
     answer: ReceivedAnswer,
     mayLoseAnswer: boolean,
   ): void {
-    const {status} = answer;
+    const {status, stamp, requestId = id} = answer;
     this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
     const tracked = this.#requests.get(id);
     if (!tracked) return;
@@ -123,12 +131,31 @@
     if (status === 0 && !mayLoseAnswer && tracked.arrivals > 0) {
       this.#report('LOST', `${id} got no answer from an undisrupted daemon`);
     }
+    const isOwn = status !== 0 && stamp === undefined;
+    if (isOwn && !NOT_RUN_STATUSES.has(status) && !mayLoseAnswer) {
+      this.#checkBreakOff(tracked, status);
+    }
+    if (requestId !== id) {
+      this.#report('MIXED', `${id} got the answer of ${requestId}`);
+    }
     if (status !== 200 || answer.cut) return;
-    if (answer.stamp !== `signed ${id}` || answer.body !== `body of ${id}`) {
-      this.#report('MIXED', `${id} got ${answer.stamp} ${answer.body}`);
+    if (stamp !== `signed ${id}` || answer.body !== `body of ${id}`) {
+      this.#report('MIXED', `${id} got ${stamp} ${answer.body}`);
     }
   }
 
+  #checkBreakOff({request, waitsUntil}: TrackedRequest, status: number): void {
+    const earlyMs = waitsUntil - this.now();
+    if (earlyMs <= 0 || !this.isAtWork(request.id)) return;
+    const detail = `${status} ${earlyMs.toFixed(1)} ms before its deadline`;
+    this.#report('LOST', `${request.id} got ${detail}, upstream at work`);
+  }
+
+  /** Reports bytes that are no answer, or one that no request waits for. */
+  reportStray(daemon: string, status: number): void {
+    this.#report('MIXED', `${daemon} sent a stray answer with ${status}`);
+  }
+
   /** Checks a request that arrived `ms` after the drain or evacuation began. */
   checkLateArrival(rule: 'DRAIN' | 'EVAC', upstream: string, ms: number): void {
     const {drainMs, evacuationMs} = this.bounds;
--- a/soak/customers.ts
+++ b/soak/customers.ts
@@ -3,10 +3,28 @@
 import {type Daemon, PORTS} from './daemons.js';
 
 /** Deadline of each request, ms. */
-const CUSTOMER_DEADLINE_MS = 1_000;
+export const CUSTOMER_DEADLINE_MS = 1_000;
 
-/** Time after a disruption in which a daemon may fail to answer, ms. */
-const RECOVERY_MS = 3_000;
+/** Timeout of each route, ms. */
+export const ROUTE_TIMEOUT_MS = 900;
+
+/** Creates a read or a booking of one of the two services. */
+export function createRequest(
+  prefix: string,
+  n: number,
+  caller: string,
+  random: () => number,
+): SentRequest {
+  const isBooking = random() < 0.4;
+  const service = random() < 0.5 ? 'a' : 'b';
+  return {
+    id: `${prefix}${n}`,
+    path: `/${isBooking ? 'book' : 'read'}-${service}/${n}`,
+    body: isBooking ? `order ${n}` : '',
+    idempotent: !isBooking,
+    caller,
+  };
+}
 
 /** Sends one request; resolves to status 0 when its connection breaks. */
 export function sendRequest(
@@ -33,13 +51,15 @@
         let answerBody = '';
         const {statusCode: status = 0, headers} = res;
         const stamp = headers['x-server-stamp'] as string | undefined;
+        const requestId = headers['x-request-id'] as string | undefined;
+        const received = {status, stamp, requestId};
         res.setEncoding('utf8');
         res.on('data', chunk => (answerBody += chunk));
         res.on('end', () =>
-          resolve({status, stamp, body: answerBody, cut: false}),
+          resolve({...received, body: answerBody, cut: false}),
         );
         res.on('error', () =>
-          resolve({status, stamp, body: answerBody, cut: true}),
+          resolve({...received, body: answerBody, cut: true}),
         );
       },
     );
@@ -68,29 +88,20 @@
   let count = 0;
   const sendNext = async (): Promise<void> => {
     const daemon = daemons[Math.floor(random() * daemons.length)];
-    const n = ++count;
-    const isBooking = random() < 0.4;
-    const service = random() < 0.5 ? 'a' : 'b';
-    const sent: SentRequest = {
-      id: `r${n}`,
-      path: `/${isBooking ? 'book' : 'read'}-${service}/${n}`,
-      body: isBooking ? `order ${n}` : '',
-      idempotent: !isBooking,
-      caller: services.get(daemon.name) ?? '',
-    };
+    const caller = services.get(daemon.name) ?? '';
+    const sent = createRequest('r', ++count, caller, random);
     if (!daemon.running) return;
-    checker.recordSent(sent);
+    checker.recordSent(sent, Math.min(CUSTOMER_DEADLINE_MS, ROUTE_TIMEOUT_MS));
     const {incarnation} = daemon;
     const answer = await sendRequest(
       daemon,
       agents.get(daemon.name) ?? false,
       sent,
     );
-    const hasRecovered = now() - daemon.disruptedAt > RECOVERY_MS;
     checker.recordAnswer(
       sent.id,
       answer,
-      !hasRecovered || daemon.incarnation !== incarnation,
+      daemon.isDisrupted(now()) || daemon.incarnation !== incarnation,
     );
   };
   const timer = setInterval(() => {
--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -15,6 +15,9 @@
   storeProxy: 18_107,
 };
 
+/** Time after a disruption in which a daemon may fail to answer, ms. */
+export const RECOVERY_MS = 3_000;
+
 /** Entry file of the daemon. */
 const ENTRY_FILE = join(import.meta.dirname, '../platform/main.js');
 
@@ -28,7 +31,7 @@
   #exit?: Promise<number | null>;
   /** Called when the process ends without a fatal signal or SIGTERM. */
   onOwnEnd: (code: number | null) => void = () => {};
-  #isStopping = false;
+  isStopping = false;
   readonly #log: WriteStream;
 
   constructor(
@@ -44,6 +47,11 @@
     return this.#child !== undefined;
   }
 
+  /** True while a disruption lasts or was a short time ago. */
+  isDisrupted(now: number): boolean {
+    return now - this.disruptedAt <= RECOVERY_MS;
+  }
+
   /** Starts the process unless another fault's recovery already did. */
   start(): void {
     if (this.#child) return;
@@ -57,19 +65,19 @@
     child.stdout.pipe(this.#log, {end: false});
     child.stderr.pipe(this.#log, {end: false});
     this.#child = child;
-    this.#isStopping = false;
+    this.isStopping = false;
     this.#exit = new Promise(resolve => {
       child.once('exit', code => {
         this.#child = undefined;
         resolve(code);
-        if (!this.#isStopping) this.onOwnEnd(code);
+        if (!this.isStopping) this.onOwnEnd(code);
       });
     });
   }
 
   /** Sends a signal to the process if it runs. */
   signal(name: NodeJS.Signals): void {
-    if (name === 'SIGTERM' || name === 'SIGKILL') this.#isStopping = true;
+    if (name === 'SIGTERM' || name === 'SIGKILL') this.isStopping = true;
     this.#child?.kill(name);
   }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -11,15 +11,17 @@
     seconds: {type: 'string', default: '12'},
     daemons: {type: 'string', default: '6'},
     rate: {type: 'string', default: '60'},
+    connections: {type: 'string', default: '2'},
     kinds: {type: 'string'},
   },
 });
-const [firstSeed, runs, seconds, daemons, perSecond] = [
+const [firstSeed, runs, seconds, daemons, perSecond, connections] = [
   values.seed,
   values.runs,
   values.seconds,
   values.daemons,
   values.rate,
+  values.connections,
 ].map(Number);
 // Without a handler a signal would skip the exit handler that kills daemons.
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
@@ -28,7 +30,7 @@
 let failed = 0;
 for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
   const result = await runSoak({
-    ...{seed, seconds, daemons, requestsPerSecond: perSecond},
+    ...{seed, seconds, daemons, requestsPerSecond: perSecond, connections},
     checksTiming: true,
     kinds: values.kinds?.split(','),
   });
@@ -42,14 +44,15 @@
   }
   failed++;
   const daemonNames = Array.from({length: daemons}, (_, i) => `d${i}`);
-  const requestId = /\b[rp]\d+\b|\bp-d\d+-\d+\b/.exec(violations[0])?.[0];
+  const requestId = /\b[rkp]\d+\b|\bp-d\d+-\d+\b/.exec(violations[0])?.[0];
   const logLines = requestId
     ? findLogLines(dir, daemonNames, `"${requestId}"`)
     : [];
   const rows = [...violations.slice(0, 10), 'faults:', ...faults, ...logLines];
   process.stdout.write(
     `${rows.join('\n')}\nlogs: ${dir}\nrerun: npm run soak -- --seed ${seed} ` +
-      `--seconds ${seconds} --daemons ${daemons} --rate ${perSecond}\n`,
+      `--seconds ${seconds} --daemons ${daemons} --rate ${perSecond} ` +
+      `--connections ${connections}\n`,
   );
 }
 process.exitCode = failed === 0 ? 0 : 1;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -4,8 +4,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '../src/internal.js';
 import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
-import {sendRequest, startCustomers} from './customers.js';
-import {Daemon, createDaemonSettings, PORTS} from './daemons.js';
+import {startConnections} from './connections.js';
+import {ROUTE_TIMEOUT_MS, sendRequest, startCustomers} from './customers.js';
+import {Daemon, createDaemonSettings, PORTS, RECOVERY_MS} from './daemons.js';
 import {type Bounds, Checker} from './checker.js';
 import {type FaultProxy, type ProxyMode, startFaultProxy} from './proxy.js';
 import {
@@ -34,9 +35,6 @@
   coldSlack: Infinity,
 };
 
-/** Time after a disruption during which the bounds do not apply, ms. */
-const RECOVERY_MS = 3_000;
-
 /** Maximum time until a published version is in force, ms. */
 const CONFIG_LIMIT_MS = 2_000;
 
@@ -49,6 +47,13 @@
 /** Interval of the probes of the version in force at a daemon, ms. */
 const PROBE_INTERVAL_MS = 150;
 
+/** Share of planned stops that affect several daemons. */
+const GROUP_STOP_SHARE = 0.3;
+
+/** Time from the end of a stopped daemon to its start, ms; the customers see the
+ * end of its connections before. */
+const RESTART_DELAY_MS = 100;
+
 /** Maximum time until all daemons are ready after the start, ms. */
 const READY_TIMEOUT_MS = 20_000;
 
@@ -61,6 +66,8 @@
   /** Daemons, each beside one upstream; a multiple of 3. */
   readonly daemons: number;
   readonly requestsPerSecond: number;
+  /** Connections with several requests in flight to each daemon. */
+  readonly connections: number;
   /** False disables the bounds on time, for machines under unknown load. */
   readonly checksTiming: boolean;
   /** Kinds of faults to inject; by default all. */
@@ -124,6 +131,13 @@
       trafficRandom,
       now,
     );
+    const stopConnections = startConnections(
+      daemons.flatMap(daemon => Array(options.connections).fill(daemon)),
+      services,
+      checker,
+      trafficRandom,
+      now,
+    );
     const stopProbes = daemons.map((daemon, i) =>
       probeVersions(harness, daemon, upstreams[i].service),
     );
@@ -133,7 +147,7 @@
       injectFault(harness);
     }
     await Promise.all(harness.pendingRecoveries);
-    await stopCustomers();
+    await Promise.all([stopCustomers(), stopConnections()]);
     for (const stop of stopProbes) stop();
   } finally {
     await stopHarness(harness);
@@ -153,10 +167,15 @@
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const isStable = () => now() > harness.disruptedUntil + RECOVERY_MS;
+  const isAtWork = (id: string) =>
+    harness.upstreams.some(
+      ({atWork}, i) => atWork.has(id) && !harness.daemons[i].isDisrupted(now()),
+    );
   const checker = new Checker(
     options.checksTiming ? BOUNDS : UNTIMED_BOUNDS,
     now,
     isStable,
+    isAtWork,
   );
   const store = createFakeStore();
   const subnet = `127.${64 + (process.pid % 128)}.${options.seed % 250}`;
@@ -228,7 +247,7 @@
   harness.publishedAt = harness.now();
   const createRoute = (name: string, kind: string, service: string) => ({
     ...{name, kind, service, host: 'shop.example', path_prefix: `/${name}/`},
-    ...{timeout: '900ms', goal: '300ms', attempts: 2},
+    ...{timeout: `${ROUTE_TIMEOUT_MS}ms`, goal: '300ms', attempts: 2},
     priority: kind === 'idempotent' ? 2 : 1,
   });
   const routes = ['a', 'b'].flatMap(service => [
@@ -271,7 +290,8 @@
     if (!daemon.running) return;
     const id = `p-${daemon.name}-${++probeCount}`;
     const request = {id, path: `/v${version}/1`, body: ''};
-    checker.recordSent({...request, idempotent: true, caller: service});
+    const sent = {...request, idempotent: true, caller: service};
+    checker.recordSent(sent, ROUTE_TIMEOUT_MS);
     const {status} = await sendRequest(daemon, false, request);
     if (daemon.incarnation !== incarnation || status === 0) return;
     // Versions published in the meantime may have removed the route.
@@ -331,6 +351,21 @@
   });
 }
 
+function stopDaemon(harness: Harness, daemon: Daemon): void {
+  daemon.signal('SIGTERM');
+  runRecovery(harness, async () => {
+    const code = await daemon.waitForExit();
+    if (code !== 0 && code !== null) {
+      harness.checker.violations.push(
+        `${daemon.name} exited with code ${code}`,
+      );
+    }
+    await delay(RESTART_DELAY_MS);
+    daemon.start();
+    markDisrupted(harness, daemon);
+  });
+}
+
 function injectStoreFault(harness: Harness, mode: StoreMode): string {
   const ms = 500 + 2_500 * harness.random();
   harness.storeServer.mode = mode;
@@ -409,20 +444,19 @@
 
 const FAULTS: Record<string, Fault> = {
   term(harness) {
-    const daemon = pickRunningDaemon(harness);
-    if (!daemon) return undefined;
-    daemon.signal('SIGTERM');
-    runRecovery(harness, async () => {
-      const code = await daemon.waitForExit();
-      if (code !== 0 && code !== null) {
-        harness.checker.violations.push(
-          `${daemon.name} exited with code ${code}`,
-        );
-      }
-      daemon.start();
-      markDisrupted(harness, daemon);
-    });
-    return daemon.name;
+    const {daemons, random} = harness;
+    const count =
+      random() < GROUP_STOP_SHARE ? 2 + Math.floor(2 * random()) : 1;
+    const names: string[] = [];
+    while (names.length < count) {
+      const serving = daemons.filter(d => d.running && !d.isStopping);
+      // Keeps at least half of the daemons serving.
+      if (serving.length <= daemons.length / 2) break;
+      const daemon = pickFrom(harness, serving);
+      names.push(daemon.name);
+      stopDaemon(harness, daemon);
+    }
+    return names.join() || undefined;
   },
   kill(harness) {
     const daemon = pickRunningDaemon(harness);
@@ -566,7 +600,7 @@
   for (const daemon of harness.daemons) daemon.signal('SIGKILL');
   await Promise.all(harness.daemons.map(daemon => daemon.waitForExit()));
   for (const proxy of [...harness.storeProxies, ...harness.appProxies]) {
-    await proxy.close();
+    proxy.close();
   }
   for (const upstream of harness.upstreams) await upstream.crash();
   await harness.storeServer.close();
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -21,6 +21,12 @@
 /** Service times of requests, ms. */
 const SERVICE_TIME_MS = {shortest: 5, spread: 60};
 
+/** Share of the requests that last until about their deadline. */
+const LONG_RUN_SHARE = 0.02;
+
+/** Service time of those requests relative to their deadline, ms. */
+const LONG_RUN_MS = {earliest: -50, spread: 70};
+
 /** Share of the answers that are lost while `losesAnswers` is set. */
 const ANSWER_LOSS_SHARE = 0.1;
 
@@ -36,6 +42,8 @@
   losesAnswers = false;
   spoils?: Spoiling;
   id = '';
+  /** Requests that it works on, also once nobody waits for the answer. */
+  readonly atWork = new Set<string>();
   #incarnation = 0;
   #server?: Server;
   #running = 0;
@@ -64,6 +72,7 @@
     this.#incarnation++;
     this.id = `${this.name}-${this.#incarnation}`;
     this.#running = 0;
+    this.atWork.clear();
     this.#recentArrivals = [];
     this.#drainingSince = undefined;
     const coldMs = this.#incarnation === 1 ? 0 : COLD_MS;
@@ -104,6 +113,7 @@
 
   /** Stops at once, as in a crash; its record stays in the store. */
   async crash(): Promise<void> {
+    this.atWork.clear();
     this.#server?.closeAllConnections();
     await new Promise(resolve => this.#server?.close(resolve));
   }
@@ -135,20 +145,28 @@
     }
     this.#checkArrival(id, req, body);
     this.#running++;
+    this.atWork.add(id);
     const spoiling = this.random() < SPOILED_SHARE ? this.spoils : undefined;
     if (spoiling === 'stray') {
+      this.atWork.delete(id);
       req.socket.write('HTTP/1.1 503 Failing\r\ncontent-length: 0\r\n\r\n');
     }
-    const {shortest, spread} = SERVICE_TIME_MS;
-    const ms = shortest + spread * this.random();
-    await new Promise(resolve => setTimeout(resolve, ms));
+    const deadlineMs = Number(req.headers['x-deadline-ms'] ?? Infinity);
+    const ms = this.#selectServiceTime(deadlineMs);
+    const isLate = ms > deadlineMs;
+    const workMs = Math.min(ms, deadlineMs);
+    const incarnation = this.#incarnation;
+    await new Promise(resolve => setTimeout(resolve, workMs));
+    if (incarnation !== this.#incarnation) return;
     this.#running--;
+    this.atWork.delete(id);
     if (res.destroyed) return;
     if (this.losesAnswers && this.random() < ANSWER_LOSS_SHARE) {
       return void req.socket.resetAndDestroy();
     }
     const text = `body of ${id}`;
     res.setHeader('x-server-stamp', `signed ${id}`);
+    if (isLate) return void res.writeHead(504).end();
     if (spoiling === 'reset') {
       res.useChunkedEncodingByDefault = false;
       res.writeHead(200, {connection: 'close'}).write(text.slice(0, 4));
@@ -159,6 +177,14 @@
     res.writeHead(200).end(text);
   }
 
+  #selectServiceTime(deadlineMs: number): number {
+    const isLong = this.random() < LONG_RUN_SHARE && deadlineMs < Infinity;
+    const {shortest, spread} = SERVICE_TIME_MS;
+    return isLong
+      ? deadlineMs + LONG_RUN_MS.earliest + LONG_RUN_MS.spread * this.random()
+      : shortest + spread * this.random();
+  }
+
   #checkArrival(id: string, req: IncomingMessage, body: string): void {
     const caller = String(req.headers['x-caller']);
     this.checker.recordArrival(this.id, {
