Let the soak start daemons as the deployed loader does

The soak starts the program without its loader, which handles SIGHUP first. A module that is loaded before the program now does so.

--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -21,6 +21,10 @@
 /** Entry file of the daemon. */
 const ENTRY_FILE = join(import.meta.dirname, '../platform/main.js');
 
+/** Module that handles SIGHUP before the program is loaded, as the deployed
+ * program does. */
+const IGNORE_SIGHUP = 'data:text/javascript,process.on("SIGHUP",()=>{})';
+
 /** A daemon in its own process. */
 export class Daemon {
   /** Increases with each start. */
@@ -58,7 +62,8 @@
     this.incarnation++;
     const file = join(this.dir, `${this.name}.json`);
     writeFileSync(file, JSON.stringify(this.settings));
-    const child = spawn(process.execPath, [...process.execArgv, ENTRY_FILE], {
+    const args = [...process.execArgv, '--import', IGNORE_SIGHUP, ENTRY_FILE];
+    const child = spawn(process.execPath, args, {
       env: {...process.env, BERYLBEND_NODE_FILE: file},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
