Reset no connection of a stand-in while its end is being sent

A run of the whole suite did not end: the worker of faulty_upstream.test.ts had passed its tests and spun in the cleanup of Node's environment at its exit (stack of the process).

Cause: resetAndDestroy() of a socket whose end is being sent fails with EINVAL, and Node marks the handle as closing without closing it. A script of nine lines shows both, the error and the process that does not exit. A test whose daemon gives up a call just before the teardown makes it likely.

Change: resetConnection() closes such a connection instead; the harness of the sidecar tests and the proxy of the soak use it, and the proxy waits for its server again. The soak may again signal a daemon that is stopping.

--- a/__tests__/support/sidecar_harness.ts
+++ b/__tests__/support/sidecar_harness.ts
@@ -13,6 +13,7 @@
 import {createDecisionLog} from '../../src/sidecar/decision_log.js';
 import {startSidecar, type Sidecar} from '../../src/sidecar/sidecar.js';
 import {createFakeStore, type FakeStore} from '../../standins/kv_store.js';
+import {resetConnection} from '../../standins/reset_connection.js';
 
 /** Upstream whose handler a test may replace. */
 export interface HarnessUpstream {
@@ -317,7 +318,7 @@
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
-        for (const socket of sockets) socket.resetAndDestroy();
+        for (const socket of sockets) resetConnection(socket);
       }),
   };
   return upstream;
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -1,4 +1,5 @@
 import {createServer, connect, type Server, type Socket} from 'node:net';
+import {resetConnection} from '../standins/reset_connection.js';
 
 /** How a proxy treats the bytes it forwards. */
 export type ProxyMode = 'pass' | 'delay' | 'mute' | 'silent' | 'reset';
@@ -9,7 +10,7 @@
 /** A TCP proxy between a daemon and a server that injects faults. */
 export interface FaultProxy {
   mode: ProxyMode;
-  close(): void;
+  close(): Promise<void>;
 }
 
 /**
@@ -38,9 +39,9 @@
       // shows as an end, and the connection has no peer then.
       from.on('end', () => {
         const isReset = from.remoteAddress === undefined;
-        defer(() => (isReset ? to.resetAndDestroy() : to.end()));
+        defer(() => (isReset ? resetConnection(to) : to.end()));
       });
-      from.on('error', () => to.resetAndDestroy());
+      from.on('error', () => resetConnection(to));
       from.on('close', () => pairs.delete(sockets));
     };
     forward(client, upstream, ['silent']);
@@ -54,12 +55,11 @@
     set mode(next) {
       mode = next;
       if (next !== 'reset') return;
-      for (const pair of pairs) pair.forEach(end => end.resetAndDestroy());
+      for (const pair of pairs) pair.forEach(resetConnection);
     },
     close: () => {
       for (const pair of pairs) pair.forEach(end => end.destroy());
-      // Not awaited: Node may still count a connection that was reset.
-      server.close();
+      return new Promise(resolve => server.close(() => resolve()));
     },
   };
 }
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -447,7 +447,11 @@
     const {daemons, random} = harness;
     const count =
       random() < GROUP_STOP_SHARE ? 2 + Math.floor(2 * random()) : 1;
-    const names: string[] = [];
+    // One that is stopping already may get a second signal.
+    const first = pickRunningDaemon(harness);
+    if (!first) return undefined;
+    const names = [first.name];
+    stopDaemon(harness, first);
     while (names.length < count) {
       const serving = daemons.filter(d => d.running && !d.isStopping);
       // Keeps at least half of the daemons serving.
@@ -456,7 +460,7 @@
       names.push(daemon.name);
       stopDaemon(harness, daemon);
     }
-    return names.join() || undefined;
+    return names.join();
   },
   kill(harness) {
     const daemon = pickRunningDaemon(harness);
@@ -600,7 +604,7 @@
   for (const daemon of harness.daemons) daemon.signal('SIGKILL');
   await Promise.all(harness.daemons.map(daemon => daemon.waitForExit()));
   for (const proxy of [...harness.storeProxies, ...harness.appProxies]) {
-    proxy.close();
+    await proxy.close();
   }
   for (const upstream of harness.upstreams) await upstream.crash();
   await harness.storeServer.close();
