--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -5,9 +5,6 @@
 /** Code of the error for a connection whose headers are overdue. */
 export const HEADERS_OVERDUE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
-/** Code of the error for a CONNECT request. */
-const CONNECT_REFUSED = 'CONNECT_REFUSED';
-
 /** Time for which a connection that was ended is read on, ms, unless the
  * customer ends it too. */
 const CLOSE_LINGER_MS = 1_000;
@@ -63,10 +60,11 @@
 }
 
 /**
- * Serves customers. The requests of a connection are served one after the other:
- * an answer may close the connection, and a request behind it that has reached
- * its upstream would get none. Once a close is certain, nothing more is taken
- * from the connection, to which Node's parser stays attached.
+ * Serves customers, or other callers of a daemon. The requests of a connection
+ * are served one after the other: an answer may close the connection, and a
+ * request behind it that has reached its upstream would get none. Once a close is
+ * certain, nothing more is taken from the connection, to which Node's parser
+ * stays attached.
  */
 export function serveCustomers(
   server: Server,
@@ -168,8 +166,7 @@
     // Node has removed its parser and its listeners from the connection.
     socket.on('error', () => socket.destroy());
     socket.resume();
-    const err = new Error('CONNECT is not supported');
-    reject(Object.assign(err, {code: CONNECT_REFUSED}), socket);
+    reject(new Error('CONNECT is not supported'), socket);
   });
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
     if (err.code !== HEADERS_OVERDUE) reject(err, socket);
