--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -10,7 +10,7 @@
 /** A TCP proxy between a daemon and a server that injects faults. */
 export interface FaultProxy {
   mode: ProxyMode;
-  close(): Promise<void>;
+  close(): void;
 }
 
 /**
@@ -59,7 +59,8 @@
     },
     close: () => {
       for (const pair of pairs) pair.forEach(end => end.destroy());
-      return new Promise(resolve => server.close(() => resolve()));
+      // Not awaited: Node may still count a connection that was reset.
+      server.close();
     },
   };
 }
