Close both sides of a connection of the soak's proxy

Cause: the proxy forgot a pair of connections when either side had closed.

Change: a pair is kept until both sides have closed, so closing the proxy ends what is left, and the run waits for the proxies again.

--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -10,7 +10,7 @@
 /** A TCP proxy between a daemon and a server that injects faults. */
 export interface FaultProxy {
   mode: ProxyMode;
-  close(): void;
+  close(): Promise<void>;
 }
 
 /**
@@ -42,7 +42,8 @@
         defer(() => (isReset ? resetConnection(to) : to.end()));
       });
       from.on('error', () => resetConnection(to));
-      from.on('close', () => pairs.delete(sockets));
+      // The other side may stay half open until the proxy closes it.
+      from.on('close', () => to.destroyed && pairs.delete(sockets));
     };
     forward(client, upstream, ['silent']);
     forward(upstream, client, ['silent', 'mute']);
@@ -59,8 +60,7 @@
     },
     close: () => {
       for (const pair of pairs) pair.forEach(end => end.destroy());
-      // Not awaited: Node may still count a connection that was reset.
-      server.close();
+      return new Promise(resolve => server.close(() => resolve()));
     },
   };
 }
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -604,7 +604,7 @@
   for (const daemon of harness.daemons) daemon.signal('SIGKILL');
   await Promise.all(harness.daemons.map(daemon => daemon.waitForExit()));
   for (const proxy of [...harness.storeProxies, ...harness.appProxies]) {
-    proxy.close();
+    await proxy.close();
   }
   for (const upstream of harness.upstreams) await upstream.crash();
   await harness.storeServer.close();
