Show how late reads are answered and how old copies are

The hypotheses could not be told apart from logs or metrics: the time that a read takes beyond its wait, the age that its answer gets, and requests that are served by an old copy were not visible.

- Lines `sourceSlow` and `copyOld`; revision and age in the lines on listed and gone upstreams.
- Percentiles `store_answer_late`, `peer_answer_late`, `upstream_connect`; gauges `store_revision` and `store_content_revision`.

No decision changes.

--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -134,6 +134,7 @@
       onRecovered: () => events.push('recovered'),
       onRegained: () => events.push('regained'),
       onSource: () => undefined,
+      onAnswer: () => undefined,
       random: () => 0.5,
       now: () => performance.now(),
       readLag: () => daemon.lagMs,
--- a/src/core/copy_age.ts
+++ b/src/core/copy_age.ts
@@ -32,3 +32,14 @@
   if (Math.min(ageMs, unansweredMs) <= MAX_COPY_AGE_MS) return false;
   return heardAgoMs <= CONTACT_MS || lagMs >= OVERLOAD_LAG_MS;
 }
+
+/** State of a copy: `old` when requests are served by it though it may miss
+ * updates, `overdue` when they are refused. */
+export type CopyState = 'current' | 'old' | 'overdue';
+
+/** Classifies a copy; one that was never read counts as current. */
+export function classifyCopy(status: CopyStatus): CopyState {
+  if (isCopyOverdue(status)) return 'overdue';
+  const {ageMs} = status;
+  return ageMs > MAX_COPY_AGE_MS && ageMs < Infinity ? 'old' : 'current';
+}
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -63,7 +63,7 @@
 
 /** Time beyond its wait after which a call that fails got no answer, ms; an open
  * connection may be cut at any moment before. */
-const LATE_MS = 250;
+export const LATE_MS = 250;
 
 /** Pause while neither the store nor a ranked daemon answers, ms. */
 const NO_SOURCE_PAUSE_MS = 300;
@@ -96,6 +96,17 @@
   ): Promise<PeerUpdate | 'declined' | undefined>;
 }
 
+/** Answer to a read of the store or of another daemon's copy. */
+export interface SourceAnswer {
+  readonly source: 'store' | 'peer';
+  /** Longest time for which the source was asked to hold its answer, ms. */
+  readonly waitMs: number;
+  /** Time from the start of the call to its answer, ms. */
+  readonly elapsedMs: number;
+  /** Age that was assumed for the answer, ms. */
+  readonly ageMs: number;
+}
+
 /** Dependencies of a store follower. */
 export interface FollowerDeps extends ReadDeps {
   readonly peers: StorePeers;
@@ -113,6 +124,8 @@
   readonly onRegained: (outageMs: number) => void;
   /** The source of updates has changed. */
   readonly onSource: (source: string) => void;
+  /** A read was answered. */
+  readonly onAnswer: (answer: SourceAnswer) => void;
   readonly random: Random;
   /** Time for which input handled now may have waited unread, ms. */
   readonly readLag: () => number;
@@ -284,8 +297,11 @@
     state.faulty = false;
     state.needsFullRead = result === 'compacted';
     if (result === 'compacted') return false;
-    const {changes, ageMs} = result;
-    markFresh(state, ageMs + deps.readLag());
+    const {changes} = result;
+    const ageMs = result.ageMs + deps.readLag();
+    const elapsedMs = deps.now() - startedAt;
+    deps.onAnswer({source: 'store', waitMs, elapsedMs, ageMs});
+    markFresh(state, ageMs);
     deps.onChanges(changes);
     return true;
   } catch (err) {
@@ -339,10 +355,16 @@
   state: FollowerState,
   address: string,
 ): Promise<void> {
-  const {peers} = state.deps;
+  const {peers, now, onAnswer} = state.deps;
   const after = getAskedRevision(state);
+  const startedAt = now();
   const update = await peers.ask(address, after, POLL_MS);
   if (state.stopped) return;
+  if (typeof update === 'object') {
+    const elapsedMs = now() - startedAt;
+    const {ageMs} = update;
+    onAnswer({source: 'peer', waitMs: POLL_MS, elapsedMs, ageMs});
+  }
   if (update === 'declined') {
     avoid(state, address, AVOID_MS);
     return;
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -8,9 +8,11 @@
   createSuspects,
   createTokenBucket,
   createUpstreamList,
+  classifyCopy,
   isCopyOverdue,
   type BalanceState,
   type ConcurrencyLimiter,
+  type CopyState,
   type CopyStatus,
   type HeaderNames,
   type IsUnchanged,
@@ -85,8 +87,8 @@
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
   readonly announcedLeaving: Map<string, number>;
-  /** State of the last `copyOverdue` or `copyCurrent` line. */
-  overdueLogged: boolean;
+  /** State of the copy in the last log line about it. */
+  loggedCopyState: CopyState;
   /** True once the process has been asked to stop. */
   stopping: boolean;
   /** True once a stopping process refuses new requests. */
@@ -140,7 +142,7 @@
     ),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
-    overdueLogged: false,
+    loggedCopyState: 'current',
     stopping: false,
     closed: false,
     exitAt: Infinity,
@@ -172,13 +174,22 @@
   return isCopyOverdue(readCopyStatus(board));
 }
 
-/** Logs when requests start or stop being refused for missed updates. */
-export function logOverdueChange(board: SidecarBoard): void {
-  const overdue = isOverdue(board);
-  if (overdue === board.overdueLogged) return;
-  board.overdueLogged = overdue;
-  const {ageMs, unansweredMs, heardAgoMs, lagMs} = readCopyStatus(board);
-  board.log.write('always', overdue ? 'copyOverdue' : 'copyCurrent', {
+/** Log line of each state of the copy. */
+const COPY_DECISIONS: Record<CopyState, string> = {
+  current: 'copyCurrent',
+  old: 'copyOld',
+  overdue: 'copyOverdue',
+};
+
+/** Logs when the copy becomes too old, or current again, and whether requests
+ * are refused meanwhile. */
+export function logCopyChange(board: SidecarBoard): void {
+  const status = readCopyStatus(board);
+  const state = classifyCopy(status);
+  if (state === board.loggedCopyState) return;
+  board.loggedCopyState = state;
+  const {ageMs, unansweredMs, heardAgoMs, lagMs} = status;
+  board.log.write('always', COPY_DECISIONS[state], {
     ageMs: Math.round(ageMs),
     unansweredMs: Math.round(unansweredMs),
     heardAgoMs: Math.round(Math.min(heardAgoMs, 1e6)),
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -29,6 +29,8 @@
   readonly isOwnAnswer?: (head: AnswerHead) => boolean;
   /** True when the connection is closed after the answer. */
   readonly closes?: boolean;
+  /** Called when a connection is open, just before the first byte is written. */
+  readonly beforeWrite?: () => void;
 }
 
 /** Head of an answer. */
@@ -122,8 +124,8 @@
   };
   return {
     send(origin, request, now) {
-      const {method, path, headers, body, isOwnAnswer, closes} = request;
-      const call = new Call(reset, budget, isOwnAnswer);
+      const {method, path, headers, body, closes} = request;
+      const call = new Call(reset, budget, request);
       const options = {
         method: method as Dispatcher.HttpMethod,
         path,
@@ -202,7 +204,7 @@
   constructor(
     private readonly reset: ResetState,
     private readonly budget: AnswerBudget,
-    private readonly isOwnAnswer: HttpRequest['isOwnAnswer'],
+    private readonly request: HttpRequest,
   ) {
     this.result = new Promise(resolve => (this.#settle = resolve));
   }
@@ -234,6 +236,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.#done) return controller.abort(CANCELLED);
     if (this.#written) return controller.abort(ALREADY_WRITTEN);
+    this.request.beforeWrite?.();
     this.#written = true;
     this.#controller = controller;
   }
@@ -244,7 +247,8 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
-    if (this.isOwnAnswer && !this.isOwnAnswer({status, headers})) {
+    const {isOwnAnswer} = this.request;
+    if (isOwnAnswer && !isOwnAnswer({status, headers})) {
       this.#end({kind: 'broken', code: CROSSED_ANSWER});
       controller.abort(CANCELLED);
       return;
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -250,9 +250,12 @@
   const origin = `http://${host}:${port}`;
   const isOwnAnswer = (head: AnswerHead) =>
     classifyAnswer(names, request.requestId, head) !== 'crossed';
+  // The connection may have to be opened first.
+  const beforeWrite = () =>
+    recordLatency(board.metrics, 'upstream_connect', board.now() - now);
   return client.send(
     origin,
-    {method, path: target, headers, body, isOwnAnswer},
+    {method, path: target, headers, body, isOwnAnswer, beforeWrite},
     now,
   );
 }
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -131,7 +131,7 @@
 }
 
 function readGauges(board: SidecarBoard): Record<string, number> {
-  const {limiter, list, table} = board;
+  const {limiter, list, mirror, table} = board;
   const {ageMs, unansweredMs, lagMs} = readCopyStatus(board);
   return {
     config_version: table?.config.version ?? 0,
@@ -147,6 +147,8 @@
     log_lines_dropped: board.log.countDropped(),
     ready: Number(isSidecarReady(board)),
     store_copy_age_ms: limitGauge(ageMs),
+    store_revision: mirror.revision ?? 0,
+    store_content_revision: Math.max(0, mirror.contentRevision),
     store_unanswered_ms: limitGauge(unansweredMs),
     loop_lag_ms: lagMs,
   };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -18,11 +18,7 @@
 import {stopListening} from '../daemon/customer_server.js';
 import {recordLatency} from '../daemon/metrics.js';
 import {pruneAnnouncements} from './announcements.js';
-import {
-  type SidecarBoard,
-  createSidecarBoard,
-  logOverdueChange,
-} from './board.js';
+import {type SidecarBoard, createSidecarBoard, logCopyChange} from './board.js';
 import {CRASH_REPORT_TIMEOUT_MS, createCrashReporter} from './crash_reports.js';
 import {type DecisionLog, createDecisionLog} from './decision_log.js';
 import {createSidecarEntry} from './entry.js';
@@ -171,7 +167,7 @@
   ];
   const ticker = setInterval(() => {
     recordLatency(board.metrics, 'loop_lag', board.lag.read());
-    logOverdueChange(board);
+    logCopyChange(board);
     probeQuietPeers(board, probeClient);
     for (const upstream of expireUpstreams(board.list, now())) {
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
--- a/src/sidecar/store_updates.ts
+++ b/src/sidecar/store_updates.ts
@@ -1,6 +1,8 @@
+import {recordLatency} from '../daemon/metrics.js';
 import {
   count,
   createRouteTable,
+  LATE_MS,
   recordListFault,
   pruneSplits,
   putUpstream,
@@ -29,7 +31,8 @@
   upstream: applyUpstream,
   upstreamGone(board, {id}, now) {
     if (!removeUpstream(board.list, id, now)) return;
-    board.log.write('always', 'upstreamGone', {upstream: id});
+    const revision = board.mirror.revision;
+    board.log.write('always', 'upstreamGone', {upstream: id, revision});
   },
   dataCentre({list, log}, {name, takenOut}) {
     if (list.takenOut.has(name) === takenOut) return;
@@ -100,9 +103,17 @@
     listedIn: dataCentre,
     coldMs,
     bornAt: startedAt,
+    revision: board.mirror.revision,
+    ageMs: roundAge(board),
   });
 }
 
+/** Age of the copy in whole ms; undefined without a copy. */
+function roundAge({readMirrorAge}: SidecarBoard): number | undefined {
+  const ageMs = readMirrorAge();
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
+
 /** Heartbeats that an upstream misses before its entry can expire, at least: the
  * entry outlives three intervals, and the last heartbeat was sent within one. */
 const EXPIRY_HEARTBEATS = 2;
@@ -112,7 +123,7 @@
   board: SidecarBoard,
 ): Pick<
   FollowerDeps,
-  'onFault' | 'onError' | 'onRecovered' | 'onRegained' | 'onSource'
+  'onFault' | 'onError' | 'onRecovered' | 'onRegained' | 'onSource' | 'onAnswer'
 > {
   const {list, log, now, settings} = board;
   // Entries of live upstreams expire in a long outage only; an entry that goes
@@ -139,10 +150,21 @@
     // The platform has yet to restore list entries that expired in the outage.
     onRegained: recordOutage,
     onSource(source) {
-      const ageMs = board.readMirrorAge();
       log.write('always', 'sourceChosen', {
         source,
-        ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+        ageMs: roundAge(board),
+        revision: board.mirror.revision,
+      });
+    },
+    onAnswer({source, waitMs, elapsedMs, ageMs}) {
+      const lateMs = elapsedMs - waitMs;
+      recordLatency(board.metrics, `${source}_answer_late`, lateMs);
+      if (lateMs <= LATE_MS) return;
+      log.write('always', 'sourceSlow', {
+        source,
+        lateMs: Math.round(lateMs),
+        ageMs: Math.round(ageMs),
+        lagMs: Math.round(board.lag.read()),
         revision: board.mirror.revision,
       });
     },
