--- a/__tests__/stale_copy.test.ts
+++ b/__tests__/stale_copy.test.ts
@@ -74,6 +74,21 @@
   t.is(await harness.readReady(0), 503);
 });
 
+// Readers that were busy themselves answered with old copies, which passed for
+// word of an outage; the others served by a list that was seconds old.
+test.serial.failing('old copies of peers are no outage', async t => {
+  const peer = {pollAgeMs: 60_000, answers: true};
+  const {harness, board, sendToPeer} = await startStale(t, peer);
+  const [{runs}] = harness.upstreams;
+  const before = runs.length;
+  const renewContact = () => (board.peerHeardAt = board.now());
+  renewContact();
+  t.is((await sendToPeer()).status, 503);
+  renewContact();
+  t.is((await harness.send(0)).status, 503);
+  t.is(runs.length, before);
+});
+
 test.serial('a daemon serves on while peers report an outage', async t => {
   const peer = {pollAgeMs: 60_000, answers: true};
   const {harness, sendToPeer} = await startStale(t, peer);
--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -4,6 +4,7 @@
   applyMirrorState,
   applyFullRead,
   createMirror,
+  createRandom,
   FRESH_MS,
   POLL_MS,
   rankReaders,
@@ -35,6 +36,8 @@
   lagMs: number;
   /** While set, it cannot reach the store; its calls fail only on timeout. */
   cut: boolean;
+  /** Time that an answer of the store takes to arrive, ms. */
+  wayMs: number;
 }
 
 /** Timeout of a call that the store does not answer, ms. */
@@ -94,6 +97,7 @@
       silent: false,
       lagMs: 0,
       cut,
+      wayMs: 0,
       follow: undefined as unknown as StoreFollower,
     };
     daemon.follow = startStoreFollower({
@@ -109,6 +113,7 @@
           const reply = await store.watch(prefix, after, waitMs);
           // A connection that is cut during the call returns nothing.
           await failWhenCut(endAt);
+          await wait(daemon.wayMs);
           return reply;
         },
       },
@@ -332,6 +337,47 @@
   }
 });
 
+/** Writes numbers to one key at random times for `ms`; calls `check` each 10 ms
+ * with the times of the writes, by number. */
+async function writeNumbers(
+  {clock, store}: {clock: FakeTimers.Clock; store: FakeStore},
+  random: () => number,
+  ms: number,
+  check: (writtenAt: readonly number[]) => void,
+): Promise<void> {
+  const writtenAt: number[] = [];
+  for (const endAt = performance.now() + ms; performance.now() < endAt;) {
+    if (random() < 0.02) {
+      store.put('k/a', String(writtenAt.length));
+      writtenAt.push(performance.now());
+    }
+    await clock.tickAsync(10);
+    check(writtenAt);
+  }
+}
+
+// Requests reached an upstream 2.6 s after the store had confirmed that it was
+// leaving: an answer that was on its way for a second counted as new on arrival.
+test.serial.failing('a copy is never older than it says', async t => {
+  const {clock, store, ranked, start} = createHarness(t, 6);
+  const daemons = start();
+  const random = createRandom(46);
+  const reader = daemons.find(({name}) => name === ranked[0]) as Daemon;
+  await clock.tickAsync(1_000);
+  let worstMs = 0;
+  await writeNumbers({clock, store}, random, 60_000, writtenAt => {
+    const now = performance.now();
+    for (const {known, follow} of daemons) {
+      const missed = Number(known.get('k/a') ?? -1) + 1;
+      const trueMs = now - (writtenAt[missed] ?? now);
+      worstMs = Math.max(worstMs, trueMs - follow.readAge());
+    }
+    // A store at its limit and a full link hold answers back for some time.
+    if (random() < 0.05) reader.wayMs = random() < 0.5 ? 0 : 450 * random();
+  });
+  t.true(worstMs <= 0, `${worstMs} ms older`);
+});
+
 /** Starts three data centres of four daemons. */
 function startFleet(t: ExecutionContext) {
   const {clock, store} = createHarness(t, 0);
--- a/__tests__/store_mirror.test.ts
+++ b/__tests__/store_mirror.test.ts
@@ -4,10 +4,15 @@
 import {
   applyDelta,
   applyEvents,
+  applyFullRead,
   applyMirrorState,
+  confirmRevision,
   createDelta,
   createMirror,
   readMirror,
+  type StoreEvent,
+  type StoreItem,
+  type StoreMirror,
 } from '../src/internal.js';
 
 const KEY = 'k/config';
@@ -83,3 +88,120 @@
   );
   t.pass();
 });
+
+// The reader of a data centre held an item that was newer than its copy, since it
+// had come between two pages of a full read. The watch that brought it again
+// changed nothing, so a daemon that asked was told that nothing was new, for good.
+test.failing('a change between two pages of a full read is passed on', t => {
+  const [reader, follower] = [createMirror('k/'), createMirror('k/')];
+  const createItem = (value: string, revision: number) => {
+    return {key: 'k/a', value: Buffer.from(value), revision};
+  };
+  applyFullRead(follower, [createItem('ready', 100)], 121);
+  applyFullRead(reader, [createItem('draining', 125)], 120);
+  applyEvents(reader, [createItem('draining', 125)], 126);
+  const state = readMirror(reader, 121);
+  const changes = state && applyMirrorState(follower, state);
+  t.deepEqual(changes, [{key: 'k/a', value: Buffer.from('draining')}]);
+});
+
+/** A store of a few keys with its history, and copies of it. */
+interface Fleet {
+  readonly items: Map<string, StoreItem>;
+  readonly history: StoreEvent[];
+  /** The first copy reads the store, the others ask those before them. */
+  readonly mirrors: readonly StoreMirror[];
+}
+
+const KEYS = ['k/a', 'k/b', 'k/c', 'k/d', 'k/e'];
+
+type Write = {readonly key: string; readonly value: string | undefined};
+
+/** The digits are the counter of a heartbeat, the letter says something. */
+const writeArb: fc.Arbitrary<Write> = fc.record({
+  key: fc.constantFrom(...KEYS),
+  value: fc.constantFrom(undefined, 'x1', 'x2', 'x3', 'y1'),
+});
+
+const stepArb = fc.oneof(
+  writeArb.map(write => ({kind: 'write' as const, write})),
+  fc
+    .array(fc.option(writeArb), {minLength: 3, maxLength: 3})
+    .map(writes => ({kind: 'readPages' as const, writes})),
+  fc.constant({kind: 'watch' as const}),
+  fc.constantFrom([1, 0], [2, 0], [2, 1]).map(([asking, asked]) => {
+    return {kind: 'poll' as const, asking, asked};
+  }),
+);
+
+function writeKey({items, history}: Fleet, {key, value}: Write): void {
+  const revision = history.length + 1;
+  if (value === undefined) items.delete(key);
+  else {
+    const created = items.get(key)?.created ?? revision;
+    items.set(key, {key, value: Buffer.from(value), revision, created});
+  }
+  history.push(items.get(key) ?? {key, revision});
+}
+
+function watch({history, mirrors: [reader]}: Fleet): void {
+  const after = reader.revision ?? 0;
+  const events = history.filter(({revision}) => revision > after);
+  applyEvents(reader, events, history.length);
+}
+
+/** Reads pages of two keys; `writes` come before each of them. */
+function readPages(fleet: Fleet, writes: readonly (Write | null)[]): void {
+  const found: StoreItem[] = [];
+  let revision: number | undefined;
+  for (const [page, write] of writes.entries()) {
+    revision ??= fleet.history.length;
+    for (const key of KEYS.slice(2 * page, 2 * page + 2)) {
+      const item = fleet.items.get(key);
+      if (item) found.push(item);
+    }
+    if (write) writeKey(fleet, write);
+  }
+  applyFullRead(fleet.mirrors[0], found, revision ?? 0);
+}
+
+function poll(asking: StoreMirror, asked: StoreMirror): void {
+  const after = asking.revision ?? -1;
+  const state = readMirror(asked, after);
+  if (state) applyMirrorState(asking, state);
+  else if (asked.revision !== undefined) {
+    confirmRevision(asking, asked.revision);
+  }
+}
+
+// A change that came between two pages of a full read was taken for known, and
+// daemons that asked for changes were told that there were none.
+test.failing('each change reaches all copies, whatever the order', t => {
+  fc.assert(
+    fc.property(fc.array(stepArb, {maxLength: 40}), steps => {
+      const isUnchanged = (_key: string, before: Buffer, after: Buffer) =>
+        before.toString('latin1', 0, 1) === after.toString('latin1', 0, 1);
+      const mirrors = [0, 1, 2].map(() => createMirror('k/', isUnchanged));
+      const fleet: Fleet = {items: new Map(), history: [], mirrors};
+      for (const step of steps) {
+        if (step.kind === 'write') writeKey(fleet, step.write);
+        else if (step.kind === 'readPages') readPages(fleet, step.writes);
+        else if (step.kind === 'watch') watch(fleet);
+        else poll(mirrors[step.asking], mirrors[step.asked]);
+      }
+      watch(fleet);
+      poll(mirrors[1], mirrors[0]);
+      poll(mirrors[2], mirrors[1]);
+      const describe = (items: Iterable<StoreItem>) =>
+        [...items]
+          .map(({key, value}) => `${key} ${value.toString()[0]}`)
+          .sort();
+      const expected = describe(fleet.items.values());
+      return mirrors.every(mirror => {
+        return String(describe(mirror.items.values())) === String(expected);
+      });
+    }),
+    {seed: 46, numRuns: 2_000},
+  );
+  t.pass();
+});
