Take old copies of other daemons no longer for word of an outage

Cause: requests are refused once the copy is older than 1.7 s, unless an answer of any age was read in that time; such an answer counted as word of an outage of the store. Readers that are too busy give the same answers.

Evidence: 'old copies of peers are no outage' failed before and passes now.

Change: a daemon says that the store fails it, in its answers to polls and with its load in each reply. It says so after two failed calls, or one without an answer, and not when its own load may be why no answer was read. Only such word lets others serve on by an old copy. 'an overloaded daemon claims no outage' and 'an outage is known before copies are too old' cover both sides.

The test 'a daemon serves on while peers report an outage' had a peer with an old copy stand for an outage, which is the fault. It is replaced by one test for each of the two places where a peer says so.

The report of the load has one more flag, so replies are no longer.

--- a/__tests__/balance.test.ts
+++ b/__tests__/balance.test.ts
@@ -27,6 +27,7 @@
   failShare: 0,
   cold: false,
   leaving: false,
+  storeLost: false,
 };
 
 function createHarness() {
--- a/__tests__/owner_guards.test.ts
+++ b/__tests__/owner_guards.test.ts
@@ -75,10 +75,7 @@
   },
   'its copy is overdue': {
     reason: 'stale-view',
-    prepare: board => {
-      board.readMirrorAge = () => MAX_COPY_AGE_MS + 1;
-      board.readSourceSilence = () => MAX_COPY_AGE_MS + 1;
-    },
+    prepare: board => (board.readMirrorAge = () => MAX_COPY_AGE_MS + 1),
   },
   'its data centre is taken out': {
     reason: 'data-centre-out',
--- a/__tests__/peer_state.test.ts
+++ b/__tests__/peer_state.test.ts
@@ -92,6 +92,7 @@
     lag: {read: () => 0},
     log: {write: () => undefined},
     readMirrorAge: () => FRESH_MS,
+    isStoreLost: () => false,
     now: () => now,
   } as unknown as SidecarBoard;
   const address = await listen(t, (req, res) => serveState(board, req, res));
--- a/__tests__/stale_copy.test.ts
+++ b/__tests__/stale_copy.test.ts
@@ -15,6 +15,8 @@
   pollAgeMs: number | undefined;
   /** Whether it answers probes and forwarded requests. */
   answers: boolean;
+  /** Where it says that its own reads of the store fail, if at all. */
+  tells?: 'polls' | 'load';
 }
 
 /**
@@ -28,11 +30,13 @@
   await harness.addPeer(t, 'dc1', (req, res) => {
     if (req.url?.startsWith(STATE_PATH)) {
       if (peer.pollAgeMs === undefined) return;
+      if (peer.tells === 'polls') res.setHeader(HEADERS.storeLost, '1');
       res.writeHead(204, {[HEADERS.ageMs]: String(peer.pollAgeMs)}).end();
       return;
     }
     if (!peer.answers) return;
-    res.setHeader(HEADERS.load, '0,0,8,10,0,0');
+    const flags = peer.tells === 'load' ? 4 : 0;
+    res.setHeader(HEADERS.load, `0,0,8,10,0,${flags}`);
     if (req.headers[HEADERS.terms] === undefined) res.writeHead(204).end();
     else answerOk(req, res, 'peer');
   });
@@ -76,7 +80,7 @@
 
 // Readers that were busy themselves answered with old copies, which passed for
 // word of an outage; the others served by a list that was seconds old.
-test.serial.failing('old copies of peers are no outage', async t => {
+test.serial('old copies of peers are no outage', async t => {
   const peer = {pollAgeMs: 60_000, answers: true};
   const {harness, board, sendToPeer} = await startStale(t, peer);
   const [{runs}] = harness.upstreams;
@@ -89,12 +93,14 @@
   t.is(runs.length, before);
 });
 
-test.serial('a daemon serves on while peers report an outage', async t => {
-  const peer = {pollAgeMs: 60_000, answers: true};
-  const {harness, sendToPeer} = await startStale(t, peer);
-  t.is((await sendToPeer()).status, 200);
-  t.is(await harness.readReady(0), 200);
-});
+for (const tells of ['polls', 'load'] as const) {
+  test.serial(`a daemon serves on in an outage told in ${tells}`, async t => {
+    const peer = {pollAgeMs: 60_000, answers: true, tells};
+    const {harness, sendToPeer} = await startStale(t, peer);
+    t.is((await sendToPeer()).status, 200);
+    t.is(await harness.readReady(0), 200);
+  });
+}
 
 test.serial('a daemon that is cut off from all others serves on', async t => {
   const peer = {pollAgeMs: undefined, answers: false};
--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -6,6 +6,7 @@
   createMirror,
   createRandom,
   FRESH_MS,
+  MAX_COPY_AGE_MS,
   POLL_MS,
   rankReaders,
   rankSources,
@@ -34,6 +35,8 @@
   silent: boolean;
   /** While set, it cannot reach the store; its calls fail only on timeout. */
   cut: boolean;
+  /** While set, it is late to read what has arrived. */
+  overloaded: boolean;
   /** Time for which answers of the store are on the way or wait unread, ms. */
   wayMs: number;
 }
@@ -99,6 +102,7 @@
       changeCount: () => changeCount,
       silent: false,
       cut,
+      overloaded: false,
       wayMs: 0,
       follow: undefined as unknown as StoreFollower,
     };
@@ -143,6 +147,7 @@
       onSource: () => undefined,
       onAnswer: () => undefined,
       random: () => 0.5,
+      isOverloaded: () => daemon.overloaded,
       now: () => performance.now(),
     });
     t.teardown(() => daemon.follow.stop());
@@ -290,6 +295,31 @@
   });
 }
 
+// Daemons that were too busy to read the store passed for witnesses of an outage,
+// and others served by copies of any age.
+test.serial('an overloaded daemon claims no outage', async t => {
+  const {clock, store, start} = createHarness(t, 1);
+  const [daemon] = start();
+  const {follow} = daemon;
+  await clock.tickAsync(1_000);
+  t.false(follow.isStoreLost());
+  daemon.cut = true;
+  daemon.overloaded = true;
+  await clock.tickAsync(5_000);
+  t.false(follow.isStoreLost());
+  daemon.overloaded = false;
+  await clock.tickAsync(5_000);
+  t.true(follow.isStoreLost());
+  daemon.cut = false;
+  await clock.tickAsync(5_000);
+  t.false(follow.isStoreLost());
+  // An error is an answer, whatever the load.
+  daemon.overloaded = true;
+  store.down = true;
+  await clock.tickAsync(2_000);
+  t.true(follow.isStoreLost());
+});
+
 // A restarted daemon refused 320 requests because it had no configuration: its
 // first read of the store hung for 2.5 s.
 test.serial('a daemon whose first read hangs asks the others', async t => {
@@ -433,6 +463,24 @@
   });
 }
 
+// Daemons serve on in an outage only if they are told of it: word of it must come
+// before their copies count as too old.
+test.serial('an outage is known before copies are too old', async t => {
+  const {clock, daemons} = startFleet(t);
+  for (let round = 0; round < 8; round++) {
+    await clock.tickAsync(12_000 + round * 170);
+    for (const daemon of daemons) daemon.cut = true;
+    const endAt = performance.now() + 5_000;
+    while (performance.now() < endAt) {
+      await clock.tickAsync(10);
+      const told = daemons.some(({follow}) => follow.isStoreLost());
+      const oldest = Math.max(...daemons.map(({follow}) => follow.readAge()));
+      t.true(told || oldest <= MAX_COPY_AGE_MS, `round ${round}: ${oldest} ms`);
+    }
+    for (const daemon of daemons) daemon.cut = false;
+  }
+});
+
 test.serial('a change arrives when two readers are lost at once', async t => {
   const {clock, store, daemons, readers, rank} = startFleet(t);
   await clock.tickAsync(12_000);
--- a/__tests__/support/balance_model.ts
+++ b/__tests__/support/balance_model.ts
@@ -122,6 +122,7 @@
     failShare: limiter.failShare,
     cold: false,
     leaving: false,
+    storeLost: false,
   });
   const finish = (startedAt: number): void => {
     if (now - startedAt <= goalMs) counts.inGoal++;
--- a/src/core/copy_age.ts
+++ b/src/core/copy_age.ts
@@ -14,8 +14,8 @@
 export interface CopyStatus {
   /** Time since the copy was last known to match the store, ms. */
   readonly ageMs: number;
-  /** Time since the store or another daemon last answered a read, ms. */
-  readonly unansweredMs: number;
+  /** Time since another daemon last said that the store fails it, ms. */
+  readonly outageToldAgoMs: number;
   /** Time since any message of another daemon, ms. */
   readonly heardAgoMs: number;
   /** Lag of the event loop, ms. */
@@ -23,13 +23,14 @@
 }
 
 /**
- * True when this daemon may miss updates that others have, because it is too
- * busy to read them. A daemon that is cut off from all others, or that hears of
- * an outage of the store, is not overdue and serves on.
+ * True when this daemon may miss updates that others have, because it or those
+ * that it asks are too busy. A daemon that is cut off from all others, or that is
+ * told of an outage of the store, is not overdue and serves on. An old copy of
+ * another daemon alone is no sign of an outage.
  */
 export function isCopyOverdue(status: CopyStatus): boolean {
-  const {ageMs, unansweredMs, heardAgoMs, lagMs} = status;
-  if (Math.min(ageMs, unansweredMs) <= MAX_COPY_AGE_MS) return false;
+  const {ageMs, outageToldAgoMs, heardAgoMs, lagMs} = status;
+  if (Math.min(ageMs, outageToldAgoMs) <= MAX_COPY_AGE_MS) return false;
   return heardAgoMs <= CONTACT_MS || lagMs >= OVERLOAD_LAG_MS;
 }
 
--- a/src/core/load_report.ts
+++ b/src/core/load_report.ts
@@ -10,11 +10,14 @@
   readonly cold: boolean;
   /** True when the daemon or its upstream is about to stop. */
   readonly leaving: boolean;
+  /** True when the reads of the store by the daemon fail. */
+  readonly storeLost: boolean;
 }
 
 /** Formats a load report as a header value. */
 export function formatReport(report: LoadReport): string {
-  const flags = (report.cold ? 1 : 0) + (report.leaving ? 2 : 0);
+  const {cold, leaving, storeLost} = report;
+  const flags = (cold ? 1 : 0) + (leaving ? 2 : 0) + (storeLost ? 4 : 0);
   const {inFlight, queued, slots, meanMs, failShare} = report;
   const percent = Math.round(failShare * 100);
   return [inFlight, queued, slots, Math.round(meanMs), percent, flags].join();
@@ -37,5 +40,6 @@
     failShare: percent / 100,
     cold: (flags & 1) !== 0,
     leaving: (flags & 2) !== 0,
+    storeLost: (flags & 4) !== 0,
   };
 }
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -127,14 +127,17 @@
   /** A read was answered. */
   readonly onAnswer: (answer: SourceAnswer) => void;
   readonly random: Random;
+  /** True when this daemon is late to read what has arrived. */
+  readonly isOverloaded: () => boolean;
 }
 
 /** A running follower of the store. */
 export interface StoreFollower {
   /** Time since the copy was last known to match the store, ms. */
   readAge(): number;
-  /** Time since the store or a daemon last answered a read, ms. */
-  readSilence(): number;
+  /** True when this daemon's own reads of the store fail, for another reason
+   * than its own load, and no daemon has a fresh copy for it. */
+  isStoreLost(): boolean;
   stop(): void;
 }
 
@@ -159,7 +162,8 @@
   /** True when the faults since then show that the store is unavailable; one cut
    * connection does not. */
   unavailable: boolean;
-  answeredAt: number;
+  /** True when the load of this daemon does not explain those faults. */
+  lost: boolean;
   /** True after a pause, which shortens the next watch. */
   paused: boolean;
   source: string;
@@ -178,7 +182,7 @@
     confirmedAt: -Infinity,
     matchedAt: undefined,
     unavailable: false,
-    answeredAt: -Infinity,
+    lost: false,
     paused: false,
     source: '',
     avoided: new Map(),
@@ -186,7 +190,7 @@
   void follow(state);
   return {
     readAge: () => deps.now() - state.confirmedAt,
-    readSilence: () => deps.now() - state.answeredAt,
+    isStoreLost: () => state.lost,
     stop: () => {
       state.stopped = true;
     },
@@ -241,6 +245,7 @@
   state.confirmedAt = Math.max(state.confirmedAt, deps.now() - ageMs);
   markMatched(state, ageMs);
   state.unavailable = false;
+  state.lost = false;
   if (!state.stale) return;
   state.stale = false;
   deps.onRegained(outageMs);
@@ -281,17 +286,17 @@
   const {deps} = state;
   const {own} = deps.peers;
   const startedAt = deps.now();
+  const wasFullRead = state.needsFullRead;
   const peerFallback = setTimeout(
     () => void askUntilKnown(state),
     PEER_FALLBACK_MS,
   );
   try {
-    const result = await (state.needsFullRead
+    const result = await (wasFullRead
       ? readAllKeys(deps)
       : watchChanges(deps, waitMs));
     if (state.stopped) return false;
     state.avoided.delete(own);
-    state.answeredAt = deps.now();
     if (state.faulty) deps.onRecovered();
     state.faulty = false;
     state.needsFullRead = result === 'compacted';
@@ -310,7 +315,15 @@
     state.needsFullRead = true;
     state.stale = true;
     const elapsedMs = deps.now() - startedAt;
-    state.unavailable ||= state.faulty || elapsedMs > waitMs + LATE_MS;
+    // The store holds no full read.
+    const heldMs = wasFullRead ? 0 : waitMs;
+    const unanswered = elapsedMs > heldMs + LATE_MS;
+    state.unavailable ||= state.faulty || unanswered;
+    // An overloaded daemon cannot tell a missing answer from one that it is late
+    // to read.
+    if (state.unavailable && !(unanswered && deps.isOverloaded())) {
+      state.lost = true;
+    }
     deps.onFault(err as Error, !state.faulty, readOutage(state));
     state.faulty = true;
     return false;
@@ -384,7 +397,6 @@
 ): boolean {
   const {deps} = state;
   const {mirror} = deps;
-  state.answeredAt = deps.now();
   const fresh = ageMs <= FRESH_MS;
   const changes = peerState && applyMirrorState(mirror, peerState);
   if (revision !== undefined && askedRevision === mirror.revision) {
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -61,8 +61,11 @@
   readonly mirror: StoreMirror;
   /** Time since the copy was last known to match the store, ms. */
   readMirrorAge: () => number;
-  /** Time since the store or a daemon last answered a read, ms. */
-  readSourceSilence: () => number;
+  /** True when this daemon's own reads of the store fail. */
+  isStoreLost: () => boolean;
+  /** Monotonic time at which another daemon last said that its reads of the store
+   * fail, ms. */
+  outageToldAt: number;
   /** Packed states of one revision, by the revision that peers have. */
   readonly packedStates: {revision: number; byAfter: Map<number, Buffer>};
   readonly pollTurnaround: PollTurnaround;
@@ -124,7 +127,8 @@
     list: createUpstreamList(),
     mirror: createMirror(deps.prefix, deps.isUnchanged),
     readMirrorAge: () => Infinity,
-    readSourceSilence: () => Infinity,
+    isStoreLost: () => false,
+    outageToldAt: -Infinity,
     packedStates: {revision: -1, byAfter: new Map()},
     pollTurnaround: createPollTurnaround(),
     pendingPolls: new Set(),
@@ -164,7 +168,7 @@
 export function readCopyStatus(board: SidecarBoard): CopyStatus {
   return {
     ageMs: board.readMirrorAge(),
-    unansweredMs: board.readSourceSilence(),
+    outageToldAgoMs: board.now() - board.outageToldAt,
     heardAgoMs: board.now() - board.peerHeardAt,
     lagMs: board.lag.read(),
   };
@@ -189,10 +193,10 @@
   const state = classifyCopy(status);
   if (state === board.loggedCopyState) return;
   board.loggedCopyState = state;
-  const {ageMs, unansweredMs, heardAgoMs, lagMs} = status;
+  const {ageMs, outageToldAgoMs, heardAgoMs, lagMs} = status;
   board.log.write('always', COPY_DECISIONS[state], {
     ageMs: Math.round(ageMs),
-    unansweredMs: Math.round(unansweredMs),
+    outageToldAgoMs: Math.round(Math.min(outageToldAgoMs, 1e6)),
     heardAgoMs: Math.round(Math.min(heardAgoMs, 1e6)),
     lagMs: Math.round(lagMs),
     revision: board.mirror.revision,
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -109,6 +109,7 @@
     failShare: limiter.failShare,
     cold: isCold(limiter, board.now()) || limiter.down,
     leaving: board.stopping || (own !== undefined && isLeaving(board, own)),
+    storeLost: board.isStoreLost(),
   };
 }
 
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -74,15 +74,20 @@
     contact.open.add(openForward);
     void call.result.then(reply => {
       contact.open.delete(openForward);
-      if (reply.report) recordMessage(board, contact);
+      if (reply.report) recordMessage(board, contact, reply.report);
       resolve(reply);
     });
   });
 }
 
 /** Records a message of a daemon; returns true when it was silent before. */
-function recordMessage(board: SidecarBoard, contact: PeerContact): boolean {
+function recordMessage(
+  board: SidecarBoard,
+  contact: PeerContact,
+  {storeLost}: LoadReport,
+): boolean {
   board.peerHeardAt = board.now();
+  if (storeLost) board.outageToldAt = board.peerHeardAt;
   return markPeerSeen(contact, board.peerHeardAt);
 }
 
@@ -161,7 +166,7 @@
   report: LoadReport,
 ): void {
   const now = board.now();
-  const wasSilent = recordMessage(board, contact);
+  const wasSilent = recordMessage(board, contact, report);
   for (const id of listUpstreamIds(board, host)) {
     if (wasSilent) readmitTarget(board.balance, id, report, now);
   }
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -143,6 +143,7 @@
   const headers = {
     [HEADERS.ageMs]: String(Math.min(Math.ceil(ageMs), MAX_AGE_MS)),
     [HEADERS.heldMs]: String(Math.floor(heldMs)),
+    ...(board.isStoreLost() ? {[HEADERS.storeLost]: '1'} : {}),
   };
   const body = packState(board, after);
   if (!body) {
@@ -274,6 +275,9 @@
   if (result.kind !== 'answer') return undefined;
   const {status, headers, body} = result.answer;
   if (status === 503) return 'declined';
+  if (headers[HEADERS.storeLost] !== undefined) {
+    board.outageToldAt = board.now();
+  }
   const answeredAgeMs = Number(readHeader(headers, HEADERS.ageMs) ?? NaN);
   const heldMs = Number(readHeader(headers, HEADERS.heldMs) ?? 0);
   const transitMs = Math.max(0, board.now() - sentAt - heldMs);
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -132,7 +132,7 @@
 
 function readGauges(board: SidecarBoard): Record<string, number> {
   const {limiter, list, mirror, table} = board;
-  const {ageMs, unansweredMs, lagMs} = readCopyStatus(board);
+  const {ageMs, outageToldAgoMs, lagMs} = readCopyStatus(board);
   return {
     config_version: table?.config.version ?? 0,
     upstreams_listed: listUpstreams(list).length,
@@ -149,7 +149,8 @@
     store_copy_age_ms: limitGauge(ageMs),
     store_revision: mirror.revision ?? 0,
     store_content_revision: Math.max(0, mirror.contentRevision),
-    store_unanswered_ms: limitGauge(unansweredMs),
+    store_lost: Number(board.isStoreLost()),
+    store_outage_told_ms: limitGauge(outageToldAgoMs),
     loop_lag_ms: lagMs,
   };
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -5,6 +5,7 @@
   type KeyChange,
   type KeyValueStore,
   LAG_WINDOW_MS,
+  OVERLOAD_LAG_MS,
   type SidecarSettings,
   type StoreUpdate,
   type StoreFollower,
@@ -184,11 +185,12 @@
         peers: createStorePeers(board, stateClient),
         random,
         now,
+        isOverloaded: () => board.lag.read() >= OVERLOAD_LAG_MS,
         onChanges: applyChanges,
         ...createSourceHandlers(board),
       });
       board.readMirrorAge = storeFollow.readAge;
-      board.readSourceSilence = storeFollow.readSilence;
+      board.isStoreLost = storeFollow.isStoreLost;
       return storeFollow;
     },
     reload(next) {
