--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -45,14 +45,8 @@
   // Loaded when asked for: most daemons end without a look at their metrics.
   const {Counter, Gauge, Registry} = await import('prom-client');
   const registry = new Registry();
-  for (const [name, value] of board.counters) {
-    const counter = new Counter({
-      name: toMetricName(name, '_total'),
-      help: `Count of ${name}.`,
-      registers: [registry],
-    });
-    counter.inc(value);
-  }
+  // A reader that cuts a long page off still gets the state of the daemon; the
+  // counters of routes, of which there may be many, come last.
   for (const [name, value] of Object.entries(gauges)) {
     const gauge = new Gauge({
       name: toMetricName(name),
@@ -73,6 +67,14 @@
       gauge.set({quantile: String(percentile / 100)}, us / 1_000_000);
     }
   }
+  for (const [name, value] of board.counters) {
+    const counter = new Counter({
+      name: toMetricName(name, '_total'),
+      help: `Count of ${name}.`,
+      registers: [registry],
+    });
+    counter.inc(value);
+  }
   return registry.metrics();
 }
 
