Let the soak check the daemons' copies of the store

The faults of that issue were not seen by the soak: it checked what customers and upstreams see, which needs a drain at just the right moment.

- COPY: each copy is read four times a second and compared with the history of the store: its age may not be below the true one, and it holds what the store held at its revision.
- storeHeld: answers of the store are held back for up to 450 ms without an error. splitReads: writes between the pages of full reads, which take several pages now, beside a cut watch and a restart.

--- a/__tests__/soak.test.ts
+++ b/__tests__/soak.test.ts
@@ -17,6 +17,10 @@
 /** Kinds that bring back what the review found (docs/incidents/issue-40-*). */
 const REVIEW_KINDS = ['resetAnswers', 'strayAnswers', 'oddEntries', 'cutWatch'];
 
+/** Kinds around which copies of the store were older than they said, or lacked a
+ * change for good. */
+const COPY_KINDS = ['storeHeld', 'splitReads', 'drain'];
+
 /** Kinds around which requests in flight were lost. */
 const FLIGHT_KINDS = ['term', 'config', 'drain'];
 
@@ -29,6 +33,11 @@
     ...{name: 'the faults of the review', seed: 2, kinds: REVIEW_KINDS},
     ...{seconds: 5, connections: 0},
   },
+  {
+    // Issue 46; the copies are checked in the other runs too.
+    ...{name: 'late and split reads of the store', seed: 1, kinds: COPY_KINDS},
+    ...{seconds: 6, connections: 0},
+  },
   {
     // A stop closed connections that had more requests in flight (issue 43).
     ...{name: 'several requests in flight', seed: 3, kinds: FLIGHT_KINDS},
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -181,6 +181,11 @@
     this.#report('CONFIG', `${daemon} went from ${before} to ${version}`);
   }
 
+  /** Reports a copy of the store that is older than stated, or wrong. */
+  reportCopy(daemon: string, detail: string): void {
+    this.#report('COPY', `${daemon} has ${detail}`);
+  }
+
   /** Reports a daemon that has not applied a version in time. */
   reportOutdated(daemon: string, version: number, expected: number): void {
     this.#report('CONFIG', `${daemon} is at ${version}, not at ${expected}`);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -5,6 +5,7 @@
 import {createRandom} from '../src/internal.js';
 import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
 import {startConnections} from './connections.js';
+import {checkCopies} from './copies.js';
 import {ROUTE_TIMEOUT_MS, sendRequest, startCustomers} from './customers.js';
 import {Daemon, createDaemonSettings, PORTS, RECOVERY_MS} from './daemons.js';
 import {type Bounds, Checker} from './checker.js';
@@ -57,6 +58,9 @@
 /** Maximum time until all daemons are ready after the start, ms. */
 const READY_TIMEOUT_MS = 20_000;
 
+/** Items of one page of the store: a full read takes several. */
+const PAGE_SIZE = 4;
+
 const ZONES = ['z1', 'z2', 'z3'];
 
 /** Options of a run; equal options inject the same faults. */
@@ -118,6 +122,7 @@
   };
   process.once('exit', killDaemons);
   const {daemons, checker, upstreams, random, trafficRandom, now} = harness;
+  const stopCopies = checkCopies(daemons, harness.store, checker, now);
   try {
     await waitUntilReady(harness);
     const services = new Map(
@@ -150,6 +155,7 @@
     await Promise.all([stopCustomers(), stopConnections()]);
     for (const stop of stopProbes) stop();
   } finally {
+    stopCopies();
     await stopHarness(harness);
     process.removeListener('exit', killDaemons);
   }
@@ -177,7 +183,7 @@
     isStable,
     isAtWork,
   );
-  const store = createFakeStore();
+  const store = createFakeStore(PAGE_SIZE);
   const subnet = `127.${64 + (process.pid % 128)}.${options.seed % 250}`;
   const storeHost = `${subnet}.250`;
   const storeServer = await startStoreServer(
@@ -495,6 +501,24 @@
   storeDown: harness => injectStoreFault(harness, 'down'),
   storeSlow: harness => injectStoreFault(harness, 'slow'),
   storeLossy: harness => injectStoreFault(harness, 'lossy'),
+  splitReads(harness) {
+    const {store, storeServer, daemons} = harness;
+    // A read finds each of these writes on its last page, and may be the only
+    // one that they are news to.
+    let writes = 0;
+    store.onNextPage = () =>
+      store.put('zz/last', `${harness.faults.length}/${++writes}`);
+    runRecovery(harness, async () => {
+      await delay(3_000);
+      store.onNextPage = undefined;
+    });
+    storeServer.cutWatches();
+    const daemon = pickRunningDaemon(harness);
+    if (daemon) killDaemon(harness, daemon);
+    injectStoreFault(harness, 'held');
+    return `${daemons.length} daemons, ${daemon?.name} restarts`;
+  },
+  storeHeld: harness => injectStoreFault(harness, 'held'),
   storeForgets(harness) {
     harness.store.compact();
     return 'history';
--- a/soak/store_server.ts
+++ b/soak/store_server.ts
@@ -3,11 +3,15 @@
 import {listen} from './proxy.js';
 
 /** Fault modes of the store, the same for all daemons. */
-export type StoreMode = 'sound' | 'down' | 'slow' | 'lossy';
+export type StoreMode = 'sound' | 'down' | 'slow' | 'lossy' | 'held';
 
 /** Delay of each answer in mode `slow`, ms. */
 const SLOW_ANSWER_DELAY_MS = 300;
 
+/** Longest time for which an answer is held back in mode `held`, ms; calls that
+ * are answered that late still succeed. */
+const MAX_HOLD_MS = 450;
+
 /** HTTP server of the platform's store. */
 export interface StoreServer {
   mode: StoreMode;
@@ -69,6 +73,10 @@
     if (isMode('slow')) {
       await new Promise(resolve => setTimeout(resolve, SLOW_ANSWER_DELAY_MS));
     }
+    if (isMode('held')) {
+      const ms = MAX_HOLD_MS * random();
+      await new Promise(resolve => setTimeout(resolve, ms));
+    }
     if (isMode('down')) return void res.destroy();
     // A dropped answer leaves the connection open and silent.
     if (isMode('lossy') && random() < 0.5) return;
--- a/standins/kv_store.ts
+++ b/standins/kv_store.ts
@@ -9,6 +9,10 @@
   /** While true, every call fails. */
   down: boolean;
   calls: number;
+  /** Called before each page of a full read but the first. */
+  onNextPage?: () => void;
+  /** Called with each change, as it enters the history. */
+  onWrite?: (event: StoreEvent) => void;
 }
 
 /** Creates an empty store; `pageSize` is the maximum items per page. */
@@ -20,6 +24,7 @@
   const waiters = new Set<() => void>();
   const record = (event: StoreEvent) => {
     history.push(event);
+    store.onWrite?.(event);
     for (const wake of [...waiters]) wake();
   };
   const checkAvailable = () => {
@@ -53,6 +58,7 @@
     },
     async readPage(prefix, after) {
       checkAvailable();
+      if (after !== undefined) store.onNextPage?.();
       const keys = [...items.keys()].filter(
         key => key.startsWith(prefix) && (after === undefined || key > after),
       );
