--- a/__tests__/http_client.test.ts
+++ b/__tests__/http_client.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
 import {createAnswerBudget} from '../src/sidecar/answer_budget.js';
-import {createHttpClient} from '../src/sidecar/http_client.js';
+import {createHttpClient, WITHDRAWN} from '../src/sidecar/http_client.js';
 
 const OPTIONS = {connections: 1, connectTimeoutMs: 200, keepAliveMs: 100};
 
@@ -102,3 +102,34 @@
   const call = client.send(`http://127.0.0.1:${port}`, request, 0);
   t.like(await call.result, {kind: 'broken'});
 });
+
+// The owner withdraws a request whose upstream has left while the connection was
+// being opened; those that wait for the same connection must not end with it.
+test('a call that is withdrawn writes nothing and ends no other', async t => {
+  const paths: unknown[] = [];
+  const server = createServer((req, res) => {
+    paths.push(req.url);
+    setTimeout(() => res.end('ok'), 20);
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const client = createHttpClient(OPTIONS);
+  t.teardown(async () => {
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  const send = (path: string) => {
+    const beforeWrite = () => !path.startsWith('/withdrawn');
+    const request = {method: 'GET', headers: [], body: undefined};
+    const call = {...request, path, beforeWrite};
+    return client.send(`http://127.0.0.1:${port}`, call, 0).result;
+  };
+  const sent = ['/withdrawn/1', '/1', '/withdrawn/2', '/2'].map(send);
+  const results = await Promise.all(sent);
+  t.deepEqual(paths, ['/1', '/2']);
+  t.deepEqual(
+    results.map(result => ('code' in result ? result.code : result.kind)),
+    [WITHDRAWN, 'answer', WITHDRAWN, 'answer'],
+  );
+});
