--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -45,8 +45,8 @@
   // Loaded when asked for: most daemons end without a look at their metrics.
   const {Counter, Gauge, Registry} = await import('prom-client');
   const registry = new Registry();
-  // A reader that cuts a long page off still gets the state of the daemon; the
-  // counters of routes, of which there may be many, come last.
+  // A reader that cuts a long page off still gets the state of the daemon.
+  // Counters come last, as each route adds some.
   for (const [name, value] of Object.entries(gauges)) {
     const gauge = new Gauge({
       name: toMetricName(name),
