--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -56,7 +56,7 @@
     others = [] as Daemon[],
     cut = false,
     rank = (name: string) => rankReaders('dc', names, name),
-    isApart = (_from: string, _to: string): boolean => false,
+    isApart = undefined as ((from: string, to: string) => boolean) | undefined,
   } = {},
 ): Daemon[] {
   const daemons = [...others];
@@ -69,7 +69,7 @@
     waitMs: number,
   ): Promise<PeerUpdate | undefined> => {
     const daemon = daemons.find(
-      ({name}) => name === address && !isApart(from, name),
+      ({name}) => name === address && !isApart?.(from, name),
     );
     const endAt = performance.now() + waitMs;
     const readMatchedAt = () =>
