Write a full standard output again only after a pause

An operator whose log collector stalls, with a standard output that is non-blocking, saw a daemon that used processor time all the while. `writeStdout` called `write` again at once after EAGAIN, a loop through the thread pool for as long as nothing was read.

The next attempt now comes after FULL_OUTPUT_PAUSE_MS. The output has a module of its own, src/sidecar/stdout.ts.

--- a/src/sidecar/decision_log.ts
+++ b/src/sidecar/decision_log.ts
@@ -1,5 +1,5 @@
-import {write} from 'node:fs';
 import bunyan from 'bunyan';
+import {type WriteOut, writeStdout} from './stdout.js';
 
 /** Lines per second for successful requests; more are dropped and counted. */
 export const ROUTINE_LINES_PER_S = 40;
@@ -30,25 +30,6 @@
   close(): Promise<void>;
 }
 
-/** Writes text to the output; calls `done` when it can accept more. */
-export type WriteOut = (text: string, done: () => void) => void;
-
-/** Writes to standard output through the thread pool: a consumer that stops
- * reading blocks a thread of the pool and never the event loop. */
-export const writeStdout: WriteOut = (text, done) => {
-  const bytes = Buffer.from(text);
-  const writeFrom = (from: number): void => {
-    write(1, bytes, from, bytes.length - from, null, (err, written) => {
-      // Logging ends when standard output is closed; requests continue.
-      if (err && (err as NodeJS.ErrnoException).code !== 'EAGAIN') return;
-      const next = from + (written ?? 0);
-      if (next >= bytes.length) done();
-      else writeFrom(next);
-    });
-  };
-  writeFrom(0);
-};
-
 /** Options of a decision log. */
 export interface DecisionLogOptions {
   readonly id: string;
