End after SIGTERM although standard output takes nothing

An operator who stopped a daemon whose log collector had ended or had stalled saw it run until it was killed. Two causes: `log.close()` waited for a write that had failed or was blocked, and `process.exit` joins the threads of the pool, one of which was blocked in the write.

`close` now resolves after a failed write and after CLOSE_WAIT_MS at the latest; lines after a failed write are dropped and counted.

The test of `close` after a failed write needs the new error argument; a failed write was the case "not read" before.

--- a/__tests__/decision_log.test.ts
+++ b/__tests__/decision_log.test.ts
@@ -5,6 +5,7 @@
   NOTABLE_LINES_PER_S,
   ROUTINE_LINES_PER_S,
 } from '../src/sidecar/decision_log.js';
+import type {WriteOut} from '../src/sidecar/stdout.js';
 
 function createHarness(reading = true) {
   const state = {
@@ -65,3 +66,47 @@
   t.true(log.countDropped() > 0);
   t.true(state.texts.join('').length <= MAX_PENDING_BYTES);
 });
+
+/** Outputs that never accept more, by what they do with a text. */
+const STUCK_OUTPUTS: Record<string, WriteOut> = {
+  'has failed': (_text, done) => done(new Error('EPIPE')),
+  'is not read': () => {},
+};
+
+for (const [state, out] of Object.entries(STUCK_OUTPUTS)) {
+  // A stop waited without end for its last lines to be written.
+  test(`close resolves when standard output ${state}`, async t => {
+    const log = createDecisionLog({
+      id: 'd',
+      dataCentre: 'z',
+      now: () => 0,
+      out,
+    });
+    log.write('always', 'started', {});
+    await new Promise(resolve => setTimeout(resolve, 150));
+    log.write('always', 'stopped', {});
+    const closed = log.close().then(() => true);
+    const late = new Promise(resolve => setTimeout(resolve, 10_000, false));
+    t.true(await Promise.race([closed, late]));
+  });
+}
+
+// Lines that can't be written any more must not pile up or be lost silently.
+test('lines after a failed write are dropped and counted', async t => {
+  let calls = 0;
+  const log = createDecisionLog({
+    id: 'd',
+    dataCentre: 'z',
+    now: () => 0,
+    out: (_text, done) => {
+      calls++;
+      done(new Error('EPIPE'));
+    },
+  });
+  log.write('always', 'started', {});
+  await new Promise(resolve => setTimeout(resolve, 150));
+  log.write('always', 'stopped', {});
+  await log.close();
+  t.is(calls, 1);
+  t.is(log.countDropped(), 1);
+});
--- a/src/sidecar/decision_log.ts
+++ b/src/sidecar/decision_log.ts
@@ -10,6 +10,9 @@
 /** Bytes buffered for output; lines beyond it are dropped and counted. */
 export const MAX_PENDING_BYTES = 262_144;
 
+/** Time for which `close` waits for the output, ms. */
+const CLOSE_WAIT_MS = 500;
+
 /** Interval between writes, ms; each writes all buffered lines. */
 const FLUSH_MS = 100;
 
@@ -26,7 +29,8 @@
   write(priority: LinePriority, decision: string, fields: LineFields): void;
   /** Number of lines dropped so far. */
   countDropped(): number;
-  /** Resolves when all pending lines have been written. */
+  /** Resolves when all pending lines have been written, when the output has
+   * failed, or after `CLOSE_WAIT_MS`. */
   close(): Promise<void>;
 }
 
@@ -44,6 +48,7 @@
   let pending: string[] = [];
   let pendingBytes = 0;
   let writing = false;
+  let failed = false;
   let dropped = 0;
   let reportedDrops = 0;
   let onDrained: (() => void) | undefined;
@@ -52,7 +57,7 @@
   const flush = (): void => {
     timer = undefined;
     if (writing) return;
-    if (pending.length === 0) {
+    if (failed || pending.length === 0) {
       onDrained?.();
       return;
     }
@@ -60,17 +65,25 @@
     pending = [];
     pendingBytes = 0;
     writing = true;
-    out(text, () => {
+    out(text, err => {
       writing = false;
+      // Logging ends when the output is closed; requests continue.
+      if (err) stopWriting();
       if (onDrained || pending.length > 0) schedule();
     });
   };
   const schedule = (): void => {
     timer ??= setTimeout(flush, onDrained ? 0 : FLUSH_MS);
   };
+  const stopWriting = (): void => {
+    failed = true;
+    dropped += pending.length;
+    pending = [];
+    pendingBytes = 0;
+  };
   const stream = {
     write(line: string): void {
-      if (pendingBytes + line.length > MAX_PENDING_BYTES) {
+      if (failed || pendingBytes + line.length > MAX_PENDING_BYTES) {
         dropped++;
         return;
       }
@@ -110,7 +123,11 @@
     countDropped: () => dropped,
     close() {
       return new Promise(resolve => {
-        onDrained = resolve;
+        const waiting = setTimeout(resolve, CLOSE_WAIT_MS);
+        onDrained = () => {
+          clearTimeout(waiting);
+          resolve();
+        };
         clearTimeout(timer);
         timer = undefined;
         flush();
