Log the start of the process before its settings are read

An operator with standard output alone could not tell a process that a signal ended in its first moments from one that was never started: the first line was `started`, after the settings were read and all ports were open.

The log exists before the settings; `identify` adds id and data centre, `flush` writes without waiting for the interval.

--- a/__tests__/decision_log.test.ts
+++ b/__tests__/decision_log.test.ts
@@ -110,3 +110,30 @@
   t.is(calls, 1);
   t.is(log.countDropped(), 1);
 });
+
+// Lines before the settings are read must be written, and later ones must name
+// their daemon.
+test('lines name the daemon once it is known', async t => {
+  const texts: string[] = [];
+  const log = createDecisionLog({
+    now: () => 0,
+    out: (text, done) => {
+      texts.push(text);
+      done();
+    },
+  });
+  log.write('always', 'starting', {});
+  log.flush();
+  t.is(texts.length, 1);
+  log.identify({id: 'd1', dataCentre: 'dc1'});
+  log.write('always', 'started', {});
+  await log.close();
+  const lines = texts.map(text => JSON.parse(text) as Record<string, unknown>);
+  t.deepEqual(
+    lines.map(({decision, id, dataCentre}) => [decision, id, dataCentre]),
+    [
+      ['starting', undefined, undefined],
+      ['started', 'd1', 'dc1'],
+    ],
+  );
+});
--- a/src/sidecar/decision_log.ts
+++ b/src/sidecar/decision_log.ts
@@ -23,10 +23,21 @@
 /** Fields of a line. */
 export type LineFields = Record<string, string | number | boolean | undefined>;
 
+/** Names a daemon in its lines. */
+export interface LogIdentity {
+  readonly id: string;
+  readonly dataCentre: string;
+}
+
 /** Log of decisions; writing never blocks the process. */
 export interface DecisionLog {
   /** Writes one line, or drops and counts it above a limit. */
   write(priority: LinePriority, decision: string, fields: LineFields): void;
+  /** Sets the daemon of later lines; the first ones are written before the
+   * settings are known. */
+  identify(identity: LogIdentity): void;
+  /** Writes the buffered lines without waiting for the interval. */
+  flush(): void;
   /** Number of lines dropped so far. */
   countDropped(): number;
   /** Resolves when all pending lines have been written, when the output has
@@ -35,9 +46,7 @@
 }
 
 /** Options of a decision log. */
-export interface DecisionLogOptions {
-  readonly id: string;
-  readonly dataCentre: string;
+export interface DecisionLogOptions extends Partial<LogIdentity> {
   readonly now: () => number;
   readonly out?: WriteOut;
 }
@@ -92,7 +101,7 @@
       schedule();
     },
   };
-  const logger = bunyan.createLogger({
+  let logger = bunyan.createLogger({
     name: 'berylbend',
     id: options.id,
     dataCentre: options.dataCentre,
@@ -120,6 +129,13 @@
       const level = priority === 'notable' ? 'warn' : 'info';
       logger[level]({decision, ...fields});
     },
+    identify({id, dataCentre}) {
+      logger = logger.child({id, dataCentre});
+    },
+    flush() {
+      clearTimeout(timer);
+      flush();
+    },
     countDropped: () => dropped,
     close() {
       return new Promise(resolve => {
