Log the error that ends a process

An operator with standard output alone saw a daemon end without a reason: the message went to standard error, nothing handled an uncaught error or a rejected promise, and the lines of the last 100 ms were lost.

`check FILE` is as it was.

Lines that a thread of the pool is writing at that moment come out before or after: seen on a busy machine with `starting`.

By hand on the code before: of 200 buffered lines none was written at a rejected promise, and a settings file that is cut left `starting` as its only line.

--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -24,6 +24,7 @@
   'configInForce',
   'copyCurrent',
   'copyOverdue',
+  'crashed',
   'ejected',
   'linesDropped',
   'peerHeard',
--- a/src/sidecar/decision_log.ts
+++ b/src/sidecar/decision_log.ts
@@ -38,6 +38,8 @@
   identify(identity: LogIdentity): void;
   /** Writes the buffered lines without waiting for the interval. */
   flush(): void;
+  /** Removes and returns the lines that have not been handed to the output. */
+  takePending(): string;
   /** Number of lines dropped so far. */
   countDropped(): number;
   /** Resolves when all pending lines have been written, when the output has
@@ -63,6 +65,12 @@
   let onDrained: (() => void) | undefined;
   let timer: NodeJS.Timeout | undefined;
 
+  const takePending = (): string => {
+    const text = pending.join('');
+    pending = [];
+    pendingBytes = 0;
+    return text;
+  };
   const flush = (): void => {
     timer = undefined;
     if (writing) return;
@@ -70,9 +78,7 @@
       onDrained?.();
       return;
     }
-    const text = pending.join('');
-    pending = [];
-    pendingBytes = 0;
+    const text = takePending();
     writing = true;
     out(text, err => {
       writing = false;
@@ -87,8 +93,7 @@
   const stopWriting = (): void => {
     failed = true;
     dropped += pending.length;
-    pending = [];
-    pendingBytes = 0;
+    takePending();
   };
   const stream = {
     write(line: string): void {
@@ -136,6 +141,7 @@
       clearTimeout(timer);
       flush();
     },
+    takePending,
     countDropped: () => dropped,
     close() {
       return new Promise(resolve => {
--- a/src/sidecar/stdout.ts
+++ b/src/sidecar/stdout.ts
@@ -1,8 +1,14 @@
-import {constants, fstatSync, openSync, write} from 'node:fs';
+import {constants, fstatSync, openSync, write, writeSync} from 'node:fs';
 
 /** Pause before a full output is written again, ms. */
 const FULL_OUTPUT_PAUSE_MS = 50;
 
+/** Attempts of `writeAtOnce` to write to a full output. */
+const MAX_ATTEMPTS = 20;
+
+/** Pause between these attempts, ms. */
+const ATTEMPT_PAUSE_MS = 10;
+
 /** File descriptor of standard output. */
 const STDOUT_FD = 1;
 
@@ -55,3 +61,30 @@
   };
   writeFrom(0);
 };
+
+/** Writes bytes and returns how many were taken; throws like `fs.writeSync`. */
+export type WriteBytes = (bytes: Uint8Array) => number;
+
+/** Writes text before it returns. Gives up when the output fails, or takes
+ * nothing for 200 ms. */
+export function writeAtOnce(
+  text: string,
+  write: WriteBytes = bytes => writeSync(openStdout(), bytes),
+): void {
+  let rest: Uint8Array = Buffer.from(text);
+  let attempts = 0;
+  while (rest.length > 0 && attempts < MAX_ATTEMPTS) {
+    try {
+      rest = rest.subarray(write(rest));
+      attempts = 0;
+    } catch (err) {
+      if ((err as NodeJS.ErrnoException).code !== 'EAGAIN') return;
+      attempts++;
+      blockThread(ATTEMPT_PAUSE_MS);
+    }
+  }
+}
+
+function blockThread(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
