Show memory, connections and descriptors on the metrics page

An operator of a daemon that the machine ended for its memory could not see what held it: no gauge told the resident memory, its limit, buffers, bodies of customers, connections or descriptors.

Nine gauges, read only when the page is asked for; `open_descriptors` is left out where /proc is absent. All gauges still fit the 4 KB that the users' reader keeps, which the test checks.

The test failed before: no gauge `customer_connections`.

--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -39,6 +39,8 @@
 export interface CustomerConnections {
   /** Closes the connections on which nothing is in progress. */
   closeIdle(): void;
+  /** Number of open connections. */
+  countOpen(): number;
   /** Number of connections whose customer may still receive the last bytes. */
   countEnding(): number;
 }
@@ -189,6 +191,7 @@
         });
       }
     },
+    countOpen: () => connections.size,
     countEnding: () =>
       [...connections.values()].filter(({ended}) => ended).length,
   };
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -33,6 +33,8 @@
   (req: IncomingMessage, res: ServerResponse, turn: RequestTurn): void;
   /** Requests in progress. */
   countRunning(): number;
+  /** Bytes of request bodies that are held. */
+  countBodyBytes(): number;
   close(): Promise<void>;
 }
 
@@ -69,6 +71,7 @@
   };
   return Object.assign(handle, {
     countRunning: () => state.running,
+    countBodyBytes: () => state.bodyBytes,
     close: () => state.client.close(),
   });
 }
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -8,6 +8,7 @@
 import {type SidecarBoard, isSidecarReady, readCopyStatus} from './board.js';
 import type {Entry} from './entry.js';
 import {readHeader} from './header_copy.js';
+import {type EntryLoad, countDescriptors, readMemoryUse} from './resources.js';
 import {
   type IncomingMessage,
   type RequestListener,
@@ -115,10 +116,13 @@
 }
 
 /** Creates the server of the metrics page. */
-export function createMetricsServer(board: SidecarBoard): Server {
+export function createMetricsServer(
+  board: SidecarBoard,
+  readLoad: () => EntryLoad,
+): Server {
   const app = polka();
   app.get('/metrics', (_req, res) => {
-    renderMetrics(board, board.metrics, readGauges(board)).then(
+    renderMetrics(board, board.metrics, readGauges(board, readLoad())).then(
       text => res.end(text),
       (err: Error) => {
         board.log.write('notable', 'metricsError', {error: err.message});
@@ -130,8 +134,13 @@
   return createServer((req, res) => void app.handler(req as never, res));
 }
 
-function readGauges(board: SidecarBoard): Record<string, number> {
+function readGauges(
+  board: SidecarBoard,
+  load: EntryLoad,
+): Record<string, number> {
   const {limiter, list, mirror, table} = board;
+  const memory = readMemoryUse(board, load);
+  const descriptors = countDescriptors();
   const {ageMs, outageToldAgoMs, lagMs} = readCopyStatus(board);
   return {
     config_version: table?.config.version ?? 0,
@@ -142,7 +151,15 @@
     upstream_queued: limiter.queue.length,
     upstream_cold: Number(isCold(limiter, board.now())),
     upstream_down: Number(limiter.down),
-    answer_bytes: board.answers.usedBytes,
+    rss_bytes: memory.rssBytes,
+    memory_limit_bytes: memory.limitBytes,
+    heap_bytes: memory.heapBytes,
+    external_bytes: memory.externalBytes,
+    buffer_bytes: memory.bufferBytes,
+    answer_bytes: memory.answerBytes,
+    body_bytes: memory.bodyBytes,
+    customer_connections: memory.connections,
+    ...(descriptors !== undefined && {open_descriptors: descriptors}),
     link_unsent_bytes: countUnsentBytes(board.pacer),
     log_lines_dropped: board.log.countDropped(),
     ready: Number(isSidecarReady(board)),
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -133,7 +133,11 @@
     serveControl(board, owner, req, res),
   );
   const readyServer = createReadyServer(board, deps.readyPath);
-  const metricsServer = createMetricsServer(board);
+  const readLoad = () => ({
+    connections: customers.countOpen(),
+    bodyBytes: entry.countBodyBytes(),
+  });
+  const metricsServer = createMetricsServer(board, readLoad);
 
   const applyChanges = (changes: KeyChange[]): void => {
     const at = now();
