Log when memory comes near its limit

An operator with standard output alone could not tell a process that the machine ended for its memory from one that was killed: no line told the memory.

The resident memory is read each second. `memoryHigh` is written as it passes 0.8 of the limit of the settings, `memoryNormal` as it falls below 0.7, both with what is known to hold it. The hysteresis keeps memory near a mark from writing a line each second.

With sidecar.ts as before, the test of the daemon found no line (ended by a timeout of 8 s).

--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -27,6 +27,8 @@
   'crashed',
   'ejected',
   'linesDropped',
+  'memoryHigh',
+  'memoryNormal',
   'peerHeard',
   'peerSilent',
   'readerSlow',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -31,6 +31,7 @@
   createSourceHandlers,
 } from './store_updates.js';
 import {createSidecarOwner} from './owner.js';
+import {MEMORY_CHECK_MS, createMemoryWatch} from './memory_watch.js';
 import {
   createStateClient,
   createStorePeers,
@@ -48,6 +49,7 @@
   createReadyServer,
   openPort,
 } from './servers.js';
+import {readMemoryUse} from './resources.js';
 import {randomInt} from 'node:crypto';
 
 /** Time after SIGTERM for which new requests are accepted, ms: two readiness
@@ -178,6 +180,13 @@
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
     }
   }, LAG_WINDOW_MS);
+  const checkMemory = createMemoryWatch({
+    log,
+    limitBytes: settings.memoryMb * 1_048_576,
+    readRss: () => process.memoryUsage.rss(),
+    readUse: () => readMemoryUse(board, readLoad()),
+  });
+  const memoryTimer = setInterval(checkMemory, MEMORY_CHECK_MS);
   log.write('always', 'started', {service: settings.service});
 
   return {
@@ -224,6 +233,7 @@
     },
     async close() {
       clearInterval(ticker);
+      clearInterval(memoryTimer);
       for (const server of servers) server.closeAllConnections();
       await Promise.all(servers.map(closePort));
       const clients = [entry, crashClient, stateClient, probeClient];
