--- a/src/sidecar/decision_log.ts
+++ b/src/sidecar/decision_log.ts
@@ -1,5 +1,5 @@
-import {write} from 'node:fs';
 import bunyan from 'bunyan';
+import {type WriteOut, writeStdout} from './stdout.js';
 
 /** Lines per second for successful requests; more are dropped and counted. */
 export const ROUTINE_LINES_PER_S = 40;
@@ -10,6 +10,9 @@
 /** Bytes buffered for output; lines beyond it are dropped and counted. */
 export const MAX_PENDING_BYTES = 262_144;
 
+/** Time for which `close` waits for the output, ms. */
+const CLOSE_WAIT_MS = 500;
+
 /** Interval between writes, ms; each writes all buffered lines. */
 const FLUSH_MS = 100;
 
@@ -20,39 +23,32 @@
 /** Fields of a line. */
 export type LineFields = Record<string, string | number | boolean | undefined>;
 
+/** Names a daemon in its lines. */
+export interface LogIdentity {
+  readonly id: string;
+  readonly dataCentre: string;
+}
+
 /** Log of decisions; writing never blocks the process. */
 export interface DecisionLog {
   /** Writes one line, or drops and counts it above a limit. */
   write(priority: LinePriority, decision: string, fields: LineFields): void;
+  /** Sets the daemon of later lines; the first ones are written before the
+   * settings are known. */
+  identify(identity: LogIdentity): void;
+  /** Writes the buffered lines without waiting for the interval. */
+  flush(): void;
+  /** Removes and returns the lines that have not been handed to the output. */
+  takePending(): string;
   /** Number of lines dropped so far. */
   countDropped(): number;
-  /** Resolves when all pending lines have been written. */
+  /** Resolves when all pending lines have been written, when the output has
+   * failed, or after `CLOSE_WAIT_MS`. */
   close(): Promise<void>;
 }
 
-/** Writes text to the output; calls `done` when it can accept more. */
-export type WriteOut = (text: string, done: () => void) => void;
-
-/** Writes to standard output through the thread pool: a consumer that stops
- * reading blocks a thread of the pool and never the event loop. */
-export const writeStdout: WriteOut = (text, done) => {
-  const bytes = Buffer.from(text);
-  const writeFrom = (from: number): void => {
-    write(1, bytes, from, bytes.length - from, null, (err, written) => {
-      // Logging ends when standard output is closed; requests continue.
-      if (err && (err as NodeJS.ErrnoException).code !== 'EAGAIN') return;
-      const next = from + (written ?? 0);
-      if (next >= bytes.length) done();
-      else writeFrom(next);
-    });
-  };
-  writeFrom(0);
-};
-
 /** Options of a decision log. */
-export interface DecisionLogOptions {
-  readonly id: string;
-  readonly dataCentre: string;
+export interface DecisionLogOptions extends Partial<LogIdentity> {
   readonly now: () => number;
   readonly out?: WriteOut;
 }
@@ -63,33 +59,45 @@
   let pending: string[] = [];
   let pendingBytes = 0;
   let writing = false;
+  let failed = false;
   let dropped = 0;
   let reportedDrops = 0;
   let onDrained: (() => void) | undefined;
   let timer: NodeJS.Timeout | undefined;
 
+  const takePending = (): string => {
+    const text = pending.join('');
+    pending = [];
+    pendingBytes = 0;
+    return text;
+  };
   const flush = (): void => {
     timer = undefined;
     if (writing) return;
-    if (pending.length === 0) {
+    if (failed || pending.length === 0) {
       onDrained?.();
       return;
     }
-    const text = pending.join('');
-    pending = [];
-    pendingBytes = 0;
+    const text = takePending();
     writing = true;
-    out(text, () => {
+    out(text, err => {
       writing = false;
+      // Logging ends when the output is closed; requests continue.
+      if (err) stopWriting();
       if (onDrained || pending.length > 0) schedule();
     });
   };
   const schedule = (): void => {
     timer ??= setTimeout(flush, onDrained ? 0 : FLUSH_MS);
   };
+  const stopWriting = (): void => {
+    failed = true;
+    dropped += pending.length;
+    takePending();
+  };
   const stream = {
     write(line: string): void {
-      if (pendingBytes + line.length > MAX_PENDING_BYTES) {
+      if (failed || pendingBytes + line.length > MAX_PENDING_BYTES) {
         dropped++;
         return;
       }
@@ -98,7 +106,7 @@
       schedule();
     },
   };
-  const logger = bunyan.createLogger({
+  let logger = bunyan.createLogger({
     name: 'berylbend',
     id: options.id,
     dataCentre: options.dataCentre,
@@ -126,10 +134,22 @@
       const level = priority === 'notable' ? 'warn' : 'info';
       logger[level]({decision, ...fields});
     },
+    identify({id, dataCentre}) {
+      logger = logger.child({id, dataCentre});
+    },
+    flush() {
+      clearTimeout(timer);
+      flush();
+    },
+    takePending,
     countDropped: () => dropped,
     close() {
       return new Promise(resolve => {
-        onDrained = resolve;
+        const waiting = setTimeout(resolve, CLOSE_WAIT_MS);
+        onDrained = () => {
+          clearTimeout(waiting);
+          resolve();
+        };
         clearTimeout(timer);
         timer = undefined;
         flush();
