Send the requests of a list test to the only upstream left

The product was not at fault.

The other upstream now leaves first, so the one whose address the odd entry has must run all five requests, and the check counts them: it was one at least.

--- a/__tests__/odd_entries.test.ts
+++ b/__tests__/odd_entries.test.ts
@@ -86,8 +86,19 @@
     ]);
     t.is(findByAddress(board.list, host, port)?.id, 'u0');
   }
+  // Only the upstream whose address the entry has is left to run requests.
+  const [, second] = upstreams;
+  store.put('servers/u1', {
+    ...VALID,
+    addr: `${second.host}:${second.port}`,
+    status: {...VALID.status, state: 'draining', sequence: 2},
+  });
+  for (const {board} of sidecars) {
+    await until(() => board.list.byId.get('u1')?.state === 'leaving');
+  }
   for (let i = 0; i < 5; i++) t.is((await harness.send(0)).status, 200);
-  t.true(upstreams[0].runs.length > 0);
+  t.is(upstreams[0].runs.length, 5);
+  t.is(second.runs.length, 0);
   // Once a configuration names the service, its upstreams count.
   harness.publish({
     services: ['s', 'exporter'].map(name => {
