Answer a request whose upstream repeats the Connection header

The HTTP client gives a repeated header as a list, which the copy of the headers split as a text: it threw after the request was marked as ended, so nothing was sent to the customer. A list is now read like the joined text.

--- a/__tests__/answer_headers.test.ts
+++ b/__tests__/answer_headers.test.ts
@@ -11,7 +11,7 @@
   ['the local upstream', 0],
   ['the upstream of another daemon', 1],
 ] as const) {
-  test.failing(`an answer of ${place} may repeat connection`, async t => {
+  test(`an answer of ${place} may repeat connection`, async t => {
     const harness = await startHarness(t, ['dc1', 'dc1']);
     const [own] = harness.upstreams;
     harness.store.remove('servers/u1');
--- a/src/sidecar/header_copy.ts
+++ b/src/sidecar/header_copy.ts
@@ -16,7 +16,7 @@
   connection: string | undefined,
   dropped: readonly string[],
 ): string[] {
-  const named = connection ? splitHeaderNames(connection) : [];
+  const named = splitHeaderNames(connection);
   const copy: string[] = [];
   for (let i = 0; i < raw.length; i += 2) {
     const name = raw[i].toLowerCase();
@@ -31,7 +31,7 @@
 export function copyAnswerHeaders(
   headers: IncomingHttpHeaders,
 ): Record<string, string | string[]> {
-  const named = headers.connection ? splitHeaderNames(headers.connection) : [];
+  const named = splitHeaderNames(headers.connection);
   const copy: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || HOP_BY_HOP.has(name)) continue;
@@ -41,7 +41,10 @@
   return copy;
 }
 
-function splitHeaderNames(text: string): string[] {
+/** Names in a header that lists them; the HTTP client gives a repeated header as
+ * a list, which Node's type of this one does not say. */
+function splitHeaderNames(value: string | string[] = ''): string[] {
+  const text = String(value);
   return text.split(',').map(name => name.trim().toLowerCase());
 }
 
