Count answers until they have gone out

A process that is over its memory is killed, and the requests of its machine end with it.

Cause: an answer counted against its share of the memory until it had come in, not while it waited for a customer or for another daemon to take it.

Change: an answer counts until the connection that it is written to has taken its last byte or is closed. Calls in progress set aside the mean size of their route's answers. Above 0.8 of the share, new requests are refused as `full` before they are forwarded, and again before the upstream gets them. Before that, answers give way whose receiver's deadline has passed and whose connection has taken nothing for 5 s, the oldest first, by a reset. Last, as before, the largest answer that is being received. Large answers to customers are written in pieces, which shows their progress; small ones are written as before. Each measure is counted and logged.

Why it works: nothing is held that isn't counted, a request without room has not been written to an upstream, and a receiver that reads or is within its deadline keeps its answer.

--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -21,6 +21,8 @@
 
 /** Decisions that change the state of a daemon; shown as context. */
 const CONTEXT_DECISIONS = new Set([
+  'answersAmple',
+  'answersShort',
   'configInForce',
   'copyCurrent',
   'copyOverdue',
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -9,6 +9,7 @@
   createTokenBucket,
   createUpstreamList,
   classifyCopy,
+  count,
   isCopyOverdue,
   type BalanceState,
   type ConcurrencyLimiter,
@@ -34,11 +35,15 @@
   PROBE_BURST,
   findByAddress,
 } from '../internal.js';
-import {type AnswerBudget, createAnswerBudget} from './answer_budget.js';
+import {
+  type AnswerBudget,
+  type AnswerEvents,
+  createAnswerBudget,
+} from './answer_budget.js';
 import type {DecisionLog} from './decision_log.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
 
-/** Share of the process memory that answers may use while they are received. */
+/** Share of the process memory that answers may use. */
 const ANSWER_MEMORY_SHARE = 0.35;
 
 /** A long poll of a peer that waits for a change. */
@@ -86,7 +91,8 @@
   readonly suspects: Suspects;
   readonly limiter: ConcurrencyLimiter;
   readonly pacer: LinkPacer;
-  /** Memory for answers of the local upstream and of other daemons. */
+  /** Memory for answers of the local upstream and of other daemons, until they
+   * have gone out. */
   readonly answers: AnswerBudget;
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
@@ -122,6 +128,7 @@
 
 /** Creates the state of a sidecar before its first store update. */
 export function createSidecarBoard(deps: BoardDeps): SidecarBoard {
+  const counters = new Map<string, number>();
   return {
     ...deps,
     list: createUpstreamList(),
@@ -143,7 +150,9 @@
     suspects: createSuspects(),
     limiter: createLimiter(deps.now()),
     answers: createAnswerBudget(
-      deps.settings.memoryMb * 1_048_576 * ANSWER_MEMORY_SHARE,
+      Math.floor(deps.settings.memoryMb * 1_048_576 * ANSWER_MEMORY_SHARE),
+      deps.now,
+      createAnswerEvents(deps, counters),
     ),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
@@ -152,11 +161,28 @@
     closed: false,
     exitAt: Infinity,
     lag: createLoopLag(),
-    counters: new Map(),
+    counters,
     metrics: createMetrics(),
   };
 }
 
+/** Counts and logs what is done when the memory for answers runs short. */
+function createAnswerEvents(
+  {log}: BoardDeps,
+  counters: Map<string, number>,
+): AnswerEvents {
+  return {
+    onDrop(cause, bytes) {
+      count({counters}, `answers_dropped_${cause}`);
+      log.write('notable', 'answerDropped', {cause, bytes});
+    },
+    onShortage({isShort, usedBytes, waitingBytes, expectedBytes, limitBytes}) {
+      const fields = {usedBytes, waitingBytes, expectedBytes, limitBytes};
+      log.write('notable', isShort ? 'answersShort' : 'answersAmple', fields);
+    },
+  };
+}
+
 /** True when the daemon can serve requests. */
 export function isSidecarReady(board: SidecarBoard): boolean {
   const {stopping, table, list} = board;
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -4,9 +4,11 @@
   count,
   endIsolatedRun,
   classifyRequest,
+  combineOutcomes,
   setReplyTimeout,
 } from '../internal.js';
 import type {RequestTurn} from '../daemon/customer_server.js';
+import {hasAnswerRoom} from './answer_budget.js';
 import {type SidecarBoard, isOverdue} from './board.js';
 import {type EntryState, type Exchange, beginExchange} from './exchange.js';
 import {finishFailed, finishRefused, finishUnserved} from './finish.js';
@@ -126,13 +128,22 @@
   );
   try {
     while (!exchange.ended) {
+      if (!hasAnswerRoom(board.answers, exchange.route?.name ?? '')) {
+        count(board, 'entry_refused_memory');
+        exchange.outcome = combineOutcomes(exchange.outcome, 'full');
+        finishUnserved(state, exchange);
+        return;
+      }
       const upstream = pickUpstream(state, exchange);
       if (!upstream) {
         finishUnserved(state, exchange);
         return;
       }
       const reply = await attemptForward(state, exchange, upstream);
-      if (exchange.ended) return;
+      if (exchange.ended) {
+        if (reply.kind === 'answer') reply.answer.release();
+        return;
+      }
       if (handleReply(state, exchange, upstream, reply, isolated)) return;
     }
   } finally {
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -55,6 +55,9 @@
   /** Monotonic time of the customer's deadline (default: the route's timeout),
    * less the time to send an answer, ms; bounds `retry-after`. */
   customerDeadlineAt: number;
+  /** Latest time of the customer's deadline (default: the route's timeout), ms;
+   * nobody waits for an answer that is still being written then. */
+  customerExpiresAt: number;
   /** End-to-end headers, alternating names and values. */
   headers: string[];
   body: Buffer | undefined;
@@ -109,6 +112,7 @@
     deadlineAt: Infinity,
     expiresAt: Infinity,
     customerDeadlineAt: Infinity,
+    customerExpiresAt: Infinity,
     headers: [],
     body: undefined,
     fingerprint: '',
@@ -125,6 +129,7 @@
   res.once('close', () => {
     state.running--;
     exchange.releaseBody?.();
+    exchange.errorAnswer?.release();
     exchange.cancelTimeout?.();
     if (exchange.ended) return;
     exchange.ended = true;
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -6,6 +6,7 @@
   formatReason,
   listService,
 } from '../internal.js';
+import {writeAnswer} from './answer_writer.js';
 import type {SidecarBoard} from './board.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyAnswerHeaders} from './header_copy.js';
@@ -51,11 +52,17 @@
 export function finishAnswered(
   state: EntryState,
   exchange: Exchange,
-  {status, headers, body, framed}: HttpAnswer,
+  answer: HttpAnswer,
 ): void {
-  if (exchange.ended) return;
+  if (exchange.ended) return answer.release();
   exchange.ended = true;
+  // The error answer of an earlier attempt is not needed any more.
+  if (exchange.errorAnswer !== answer) exchange.errorAnswer?.release();
+  exchange.errorAnswer = undefined;
+  const {status, headers, body, framed} = answer;
   const {req, res} = exchange;
+  // Also when the head can't be written.
+  res.once('close', answer.release);
   const copy = copyAnswerHeaders(headers);
   const bodiless = req.method === 'HEAD' || status === 204 || status === 304;
   if (!framed) {
@@ -68,7 +75,7 @@
   }
   announceClose(state, exchange);
   res.writeHead(status, copy);
-  res.end(body);
+  writeAnswer(state.board.answers, answer, res, exchange.customerExpiresAt);
   count(state.board, 'entry_answered');
   const elapsedMs = state.board.now() - exchange.startedAt;
   recordLatency(state.board.metrics, 'answers', elapsedMs);
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -170,6 +170,7 @@
         finishAnswered(state, exchange, reply.answer);
         return true;
       }
+      exchange.errorAnswer?.release();
       exchange.errorAnswer = reply.answer;
       logResend(state, exchange, 'answered', String(reply.answer.status));
       return false;
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -12,7 +12,7 @@
 } from '../internal.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {copyAnswerHeaders, copyRawHeaders, readHeader} from './header_copy.js';
-import type {HttpClient, HttpResult} from './http_client.js';
+import type {HttpAnswer, HttpClient, HttpResult} from './http_client.js';
 
 /** Verdict header value of a request that the upstream itself refused. */
 const REFUSED_BY_UPSTREAM = 'turned-away';
@@ -69,7 +69,7 @@
   res: ServerResponse,
   reply: ForwardReply,
   isHead: boolean,
-  endBody: (body: Buffer) => void,
+  endBody: (answer: HttpAnswer) => void,
 ): void {
   const load: Record<string, string> = reply.report
     ? {
@@ -88,7 +88,7 @@
       }
       if (!reply.answer.framed) copy[HEADERS.unframed] = '1';
       res.writeHead(status, {...copy, ...load});
-      endBody(body);
+      endBody(reply.answer);
       return;
     }
     case 'refused':
@@ -127,11 +127,11 @@
   request: ForwardRequest,
   now: number,
 ): ForwardCall {
-  const {method, target, body} = request;
+  const {method, target, body, route} = request;
   const headers = [...request.headers, HEADERS.terms, formatTerms(request)];
   const call = client.send(
     `http://${upstream.host}:${peerPort}`,
-    {method, path: target, headers, body},
+    {method, path: target, headers, body, route},
     now,
   );
   return {result: call.result.then(readReply), abort: () => call.abort()};
@@ -153,8 +153,10 @@
       const framed = headers[HEADERS.unframed] === undefined;
       return {kind: 'answer', answer: {...answer, framed}, report, heldMs};
     }
+    answer.release();
     return {kind: 'broken', outcome: 'crossedAnswer', code: 'NO_REPORT'};
   }
+  answer.release();
   const reason = parseReason(readHeader(headers, HEADERS.reason) ?? '');
   if (
     verdict === VERDICT_HEADER_VALUES.notRun ||
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -55,6 +55,7 @@
   );
   exchange.expiresAt = Math.min(readAt + allowedMs, board.exitAt);
   exchange.customerDeadlineAt = startedAt + requestedMs - marginMs;
+  exchange.customerExpiresAt = readAt + requestedMs;
   exchange.headers = copyRawHeaders(rawHeaders, headers.connection, [
     names.caller,
     names.deadlineMs,
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -5,6 +5,9 @@
   type PendingAnswer,
   chargeAnswer,
   createAnswerBudget,
+  keepAnswer,
+  predictAnswerBytes,
+  recordAnswerBytes,
   releaseAnswer,
 } from './answer_budget.js';
 
@@ -21,6 +24,12 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /**
+   * Route of a customer's request. Memory for its answer is set aside by the
+   * sizes of earlier ones, and the answer counts until it is released; others
+   * count while they are received.
+   */
+  readonly route?: string;
   /**
    * Tells from its head whether an answer belongs to the request; by default
    * each one does. Any other answer ends the call as broken and closes the
@@ -56,6 +65,8 @@
    * be truncated, and must not be forwarded with a length.
    */
   readonly framed: boolean;
+  /** Releases the memory that the answer counts for. */
+  readonly release: () => void;
 }
 
 /**
@@ -204,6 +215,8 @@
   #status = 0;
   #headers: IncomingHttpHeaders = {};
   #chunks: Buffer[] = [];
+  /** Bytes that are set aside for the rest of the answer. */
+  #expectedBytes = 0;
   /** Bytes received so far. */
   size = 0;
 
@@ -213,11 +226,20 @@
     private readonly request: HttpRequest,
   ) {
     this.result = new Promise(resolve => (this.#settle = resolve));
+    const {route} = request;
+    if (route !== undefined) this.#expect(predictAnswerBytes(budget, route));
+  }
+
+  /** Sets the bytes that are set aside for the rest of the answer. */
+  #expect(bytes: number): void {
+    this.budget.expectedBytes += bytes - this.#expectedBytes;
+    this.#expectedBytes = bytes;
   }
 
   #end(result: HttpResult): void {
     if (this.#done) return;
     this.#done = true;
+    this.#expect(0);
     releaseAnswer(this.budget, this);
     this.#chunks = [];
     this.#settle(result);
@@ -273,11 +295,13 @@
     if (this.#done) return;
     this.size += chunk.length;
     this.#chunks.push(chunk);
+    this.#expect(Math.max(0, this.#expectedBytes - chunk.length));
     chargeAnswer(this.budget, this, chunk.length);
     if (this.size > MAX_ANSWER_BYTES) this.drop();
   }
 
   onResponseEnd(): void {
+    if (this.#done) return;
     if (this.reset.handling) {
       this.#end({kind: 'broken', code: 'RESET_WITHIN_ANSWER'});
       return;
@@ -291,10 +315,20 @@
       BODILESS_STATUSES.has(status) ||
       headers['content-length'] !== undefined ||
       headers['transfer-encoding'] !== undefined;
-    const answer = {status, headers, body, framed};
+    const release = this.#keep();
+    const answer = {status, headers, body, framed, release};
     this.#end({kind: 'answer', answer});
   }
 
+  /** Keeps the answer to a customer's request in the budget. */
+  #keep(): () => void {
+    const {budget, size, request} = this;
+    const {route} = request;
+    if (route === undefined) return () => {};
+    recordAnswerBytes(budget, route, size);
+    return keepAnswer(budget, this);
+  }
+
   onResponseError(_controller: unknown, err: NodeJS.ErrnoException): void {
     const code = err.code ?? err.name;
     this.#end({kind: this.#written ? 'broken' : 'unsent', code});
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -64,18 +64,24 @@
     res.destroy();
     return;
   }
+  const deadlineAt = board.now() + request.remainingMs;
   const call = owner.submit(request);
   res.once('close', () => {
     if (!res.writableFinished) call.abort();
   });
   const reply = await call.result;
+  if (reply.kind === 'answer') {
+    if (res.destroyed) reply.answer.release();
+    // Also when the head can't be written.
+    else res.once('close', reply.answer.release);
+  }
   if (res.destroyed) return;
   const writtenAt = board.now();
   res.once('finish', () => {
     recordLatency(board.metrics, 'reply_write', board.now() - writtenAt);
   });
-  writeReply(res, reply, req.method === 'HEAD', body =>
-    endReply(res, body, request.rank),
+  writeReply(res, reply, req.method === 'HEAD', answer =>
+    endReply(res, answer, request.rank, deadlineAt),
   );
 }
 
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -29,6 +29,7 @@
 } from './http_client.js';
 import {applyAnnouncements, isLeaving} from './announcements.js';
 import {
+  MEMORY_RETRY_MS,
   classifyAnswer,
   checkArrival,
   checkListing,
@@ -191,7 +192,7 @@
       const outcome = checkStart(board, request);
       if (outcome) {
         release(board.limiter, request.route, 0, 'cancelled', board.now());
-        refuse(outcome, 0);
+        refuse(outcome, getRetryMs(outcome));
         return;
       }
       const startedAt = board.now();
@@ -208,7 +209,7 @@
   };
   state.active++;
   const outcome = checkArrival(board, request);
-  if (outcome) refuse(outcome, 0);
+  if (outcome) refuse(outcome, getRetryMs(outcome));
   else admit(board.limiter, job, arrivedAt);
   if (!settled && !call) {
     const waitMs = computeMaxWaitMs(
@@ -234,6 +235,11 @@
   };
 }
 
+/** Time after which a refused request may be sent again, ms; 0 if unknown. */
+function getRetryMs(outcome: Outcome): number {
+  return outcome === 'full' ? MEMORY_RETRY_MS : 0;
+}
+
 function startCall(
   state: OwnerState,
   request: ForwardRequest,
@@ -248,7 +254,7 @@
     ...[names.deadlineMs, String(remainingMs)],
     ...[names.expectedUpstream, request.upstreamId],
   ];
-  const {method, target, body} = request;
+  const {method, target, body, route} = request;
   const {host, port} = settings.upstream;
   const origin = `http://${host}:${port}`;
   const isOwnAnswer = (head: AnswerHead) =>
@@ -260,7 +266,7 @@
   };
   return client.send(
     origin,
-    {method, path: target, headers, body, isOwnAnswer, beforeWrite},
+    {method, path: target, headers, body, route, isOwnAnswer, beforeWrite},
     now,
   );
 }
@@ -317,6 +323,7 @@
   // A 421 comes from another upstream at the same address.
   if (answer.status !== 421) applyAnnouncements(board, request, answer);
   if (classifyAnswer(board.names, request.requestId, answer) === 'notRun') {
+    answer.release();
     finish('failed');
     refuse(answer.status === 421 ? 'wrongOwner' : 'shed', 0, true);
     return;
--- a/src/sidecar/owner_checks.ts
+++ b/src/sidecar/owner_checks.ts
@@ -1,16 +1,22 @@
 import {
   type HeaderNames,
   type Outcome,
+  count,
   findByAddress,
   isCold,
   predictRunMs,
 } from '../internal.js';
 import {isLeaving} from './announcements.js';
+import {hasAnswerRoom} from './answer_budget.js';
 import {type SidecarBoard, isOverdue} from './board.js';
 import type {ForwardRequest} from './forward.js';
 import {readHeader} from './header_copy.js';
 import type {AnswerHead} from './http_client.js';
 
+/** Time after which a request that was refused for lack of memory may be sent
+ * again, ms. */
+export const MEMORY_RETRY_MS = 300;
+
 /** Checks a request on arrival; returns the reason to refuse it, if any. */
 export function checkArrival(
   board: SidecarBoard,
@@ -18,7 +24,7 @@
 ): Outcome | undefined {
   // A request admitted now might not end before the process exits.
   if (board.closed) return 'leaving';
-  return checkListing(board, request);
+  return checkListing(board, request) ?? checkMemory(board, request);
 }
 
 /** Checks a request that was queued; returns the reason to refuse it, if any. */
@@ -28,7 +34,17 @@
 ): Outcome | undefined {
   const {limiter, now, exitAt} = board;
   if (now() + predictRunMs(limiter, request.route) > exitAt) return 'leaving';
-  return checkListing(board, request);
+  return checkListing(board, request) ?? checkMemory(board, request);
+}
+
+/** Refuses a request when there is no memory for its answer. */
+function checkMemory(
+  board: SidecarBoard,
+  request: ForwardRequest,
+): Outcome | undefined {
+  if (hasAnswerRoom(board.answers, request.route)) return undefined;
+  count(board, 'owner_refused_memory');
+  return 'full';
 }
 
 /** Checks a request against the upstream list, which must be current; returns
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -51,9 +51,11 @@
   const {now} = board;
   const contact = getOrCreateContact(board.contacts, host);
   return new Promise(resolve => {
+    let givenUp = false;
     const giveUp = (): void => {
       // A planned stop must not cut a request that may be running.
       if (board.stopping) return;
+      givenUp = true;
       contact.open.delete(openForward);
       count(board, 'forwards_given_up');
       resolve({
@@ -75,6 +77,7 @@
     void call.result.then(reply => {
       contact.open.delete(openForward);
       if (reply.report) recordMessage(board, contact, reply.report);
+      if (givenUp && reply.kind === 'answer') reply.answer.release();
       resolve(reply);
     });
   });
--- a/src/sidecar/reply_writer.ts
+++ b/src/sidecar/reply_writer.ts
@@ -1,17 +1,21 @@
 import type {ServerResponse} from 'node:http';
 import {type PacedMessage, chargeLink, sendPaced} from '../internal.js';
+import {type AnswerWriter, openAnswer} from './answer_writer.js';
 import type {SidecarBoard} from './board.js';
+import type {HttpAnswer} from './http_client.js';
 
-/** Writes the body of a reply whose head is written, and ends the reply. */
+/** Writes the body of a reply whose head is written, and ends the reply;
+ * `deadlineAt` is the monotonic time after which nobody waits for it, ms. */
 export type ReplyWriter = (
   res: ServerResponse,
-  body: Buffer,
+  answer: HttpAnswer,
   rank: number,
+  deadlineAt: number,
 ) => void;
 
 /** Creates the writer of replies to other daemons; it paces large ones. */
 export function createReplyWriter(board: SidecarBoard): ReplyWriter {
-  const {pacer, now} = board;
+  const {answers, pacer, now} = board;
   let timer: NodeJS.Timeout | undefined;
   const run = (): void => {
     const waitMs = sendPaced(pacer, now());
@@ -24,13 +28,15 @@
       Math.max(1, Math.ceil(waitMs)),
     );
   };
-  return (res, body, rank) => {
+  return (res, answer, rank, deadlineAt) => {
+    const {body} = answer;
+    const writer = openAnswer(answers, answer, res, deadlineAt);
     if (body.length <= pacer.chunkBytes) {
       chargeLink(pacer, body.length, now());
-      res.end(body);
+      writer.end(body);
       return;
     }
-    const message = createMessage(res, body, rank, run);
+    const message = createMessage(res, writer, body, rank, run);
     pacer.messages.add(message);
     res.once('close', () => pacer.messages.delete(message));
     run();
@@ -39,6 +45,7 @@
 
 function createMessage(
   res: ServerResponse,
+  writer: AnswerWriter,
   body: Buffer,
   rank: number,
   run: () => void,
@@ -52,10 +59,10 @@
       const piece = body.subarray(offset, offset + bytes);
       offset += bytes;
       if (offset === body.length) {
-        res.end(piece);
+        writer.end(piece);
         return;
       }
-      message.blocked = !res.write(piece);
+      message.blocked = !writer.write(piece);
       if (!message.blocked) return;
       res.once('drain', () => {
         message.blocked = false;
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -157,6 +157,7 @@
     external_bytes: memory.externalBytes,
     buffer_bytes: memory.bufferBytes,
     answer_bytes: memory.answerBytes,
+    answer_waiting_bytes: board.answers.waitingBytes,
     body_bytes: memory.bodyBytes,
     customer_connections: memory.connections,
     ...(descriptors !== undefined && {open_descriptors: descriptors}),
