Bound the bodies that other daemons forward

27 bodies of 8 MB that other daemons forwarded to one owner took it to 452 MB, where 350 MB were allowed; a process over its memory is killed.

Cause: an owner read forwarded bodies whole and without a limit. Only an entry counted bodies, those of its customers.

Change: one ledger for all bodies of a daemon (0.15 of its memory, as before for customers alone). Bodies count as they arrive, and until the request has ended: an answer that waits for its receiver keeps no body any more. A forwarded body that doesn't fit is refused as `full`, not run, in the form of an owner's refusals; a declared length that doesn't fit, at once. The rest of the body is read and not kept, as the close of a connection with unread bytes could lose the refusal. Refusals are counted and logged, a gauge tells the bytes.

Why it works: only whole bodies are passed on, so a request that is refused for its body has not run, and nothing is held that isn't counted.

Evidence: of bodies.test.ts, "forwarded bodies share the memory" (in chunks and with a length) and "a body larger than the memory is refused at its head" get no refusal before (time limit of the test) and pass after. "no forwarded body counts once ..." and "a body counts no longer than its request" guard the new ledger.

--- a/__tests__/bodies.test.ts
+++ b/__tests__/bodies.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import test from 'ava';
-import {startHarness, until} from './support/sidecar_harness.js';
+import {answerOk, startHarness, until} from './support/sidecar_harness.js';
 
 const MB = 1_048_576;
 
@@ -65,3 +65,137 @@
     t.deepEqual(harness.upstreams[0].runs, []);
   });
 }
+
+/** Head of a request that another daemon forwards to upstream `u0`. */
+function formatForward(id: string, header: string): string {
+  const head = [
+    'POST /slow/1 HTTP/1.1',
+    'host: shop.example',
+    `x-request-id: ${id}`,
+    'berylbend-terms: u0,slow,0,4000,20000,f',
+    header,
+  ];
+  return `${head.join('\r\n')}\r\n\r\n`;
+}
+
+/** Checks that a reply of an owner says that the request has not run. */
+function isRefusal(reply: string): boolean {
+  return (
+    reply.startsWith('HTTP/1.1 503 ') &&
+    /\r\nberylbend-verdict: not-run\r\n/i.test(reply) &&
+    /\r\nberylbend-reason: full\r\n/i.test(reply) &&
+    /\r\nberylbend-load: /i.test(reply)
+  );
+}
+
+const FORWARD_FRAMES = {
+  'in chunks': {...FRAMES['in chunks'], end: 'x\r\n0\r\n\r\n'},
+  'with a length': {...FRAMES['with a length'], end: 'x'},
+};
+
+for (const [kind, {header, start, end}] of Object.entries(FORWARD_FRAMES)) {
+  // Bodies from other daemons were read without a limit: 27 of 8 MB took an owner
+  // with a limit of 350 MB to 452 MB.
+  test.serial(`forwarded bodies ${kind} share the memory`, async t => {
+    t.timeout(20_000);
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    const [{runs}] = harness.upstreams;
+    const {host, peerPort} = board.settings;
+    const sockets: Socket[] = [];
+    const replies = Array.from({length: BODIES}, () => '');
+    for (let i = 0; i < BODIES; i++) {
+      const socket = connect(peerPort, host);
+      sockets.push(socket);
+      t.teardown(() => socket.destroy());
+      socket.on('data', (chunk: Buffer) => (replies[i] += chunk.toString()));
+      await once(socket, 'connect');
+      socket.write(`${formatForward(`b${i}`, header)}${start}`);
+      // The last byte of each body is missing, so that all are held at once.
+      const isChunked = start !== '';
+      socket.write(Buffer.alloc(BODY_BYTES - Number(isChunked), 'x'));
+    }
+    await until(() => replies.some(Boolean));
+    t.true(board.bodies.usedBytes <= MEMORY_BYTES + BODY_BYTES);
+    for (const socket of sockets) socket.write(end);
+    await until(() => replies.every(Boolean));
+    const refused = replies.filter(isRefusal);
+    const served = replies.filter(reply => reply.startsWith('HTTP/1.1 200 '));
+    t.is(refused.length + served.length, BODIES);
+    t.true(refused.length > 0 && served.length > 0);
+    t.true(served.length * BODY_BYTES <= MEMORY_BYTES);
+    t.is(runs.length, served.length);
+    await until(() => board.bodies.usedBytes === 0);
+    t.is(board.counters.get('owner_refused_body_memory'), refused.length);
+    // The rest of a refused body is not taken for a request.
+    for (const [i, socket] of sockets.entries()) {
+      if (!isRefusal(replies[i])) continue;
+      replies[i] = '';
+      socket.write(formatForward(`next${i}`, 'content-length: 0'));
+      await until(() => replies[i]);
+      t.regex(replies[i], /^HTTP\/1.1 200 /);
+    }
+  });
+}
+
+test.serial('a body larger than the memory is refused at its head', async t => {
+  t.timeout(20_000);
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const {host, peerPort} = board.settings;
+  const socket = connect(peerPort, host);
+  t.teardown(() => socket.destroy());
+  const length = Math.ceil(MEMORY_BYTES) + 1;
+  socket.write(formatForward('large', `content-length: ${length}`));
+  const [reply] = (await once(socket, 'data')) as [Buffer];
+  t.true(isRefusal(reply.toString()));
+  t.deepEqual(harness.upstreams[0].runs, []);
+});
+
+/** Ends of a forwarded request with a body. */
+const BODY_ENDS: Record<string, (socket: Socket) => unknown> = {
+  'its connection is closed within the body': socket => socket.destroy(),
+  'its connection is reset within the body': socket => socket.resetAndDestroy(),
+  'its connection is closed while it runs': socket =>
+    socket.write('x', () => setTimeout(() => socket.destroy(), 50)),
+  'the upstream breaks off': socket => socket.write('x'),
+};
+
+for (const [kind, end] of Object.entries(BODY_ENDS)) {
+  // Bytes that are never released would make an owner refuse bodies for good.
+  test.serial(`no forwarded body counts once ${kind}`, async t => {
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    const [upstream] = harness.upstreams;
+    upstream.handle = (_req, res) => {
+      if (kind === 'the upstream breaks off') res.destroy();
+    };
+    const {host, peerPort} = board.settings;
+    const socket = connect(peerPort, host);
+    t.teardown(() => socket.destroy());
+    socket.on('error', () => {});
+    socket.write(formatForward('a', `content-length: ${BODY_BYTES + 1}`));
+    socket.write(Buffer.alloc(BODY_BYTES, 'x'));
+    await until(() => board.bodies.usedBytes === BODY_BYTES);
+    end(socket);
+    await until(() => board.bodies.usedBytes === 0);
+    t.is(board.limiter.inFlight, 0);
+  });
+}
+
+// Bodies of customers that don't read their answers kept others out.
+test.serial('a body counts no longer than its request', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  harness.upstreams[0].handle = (req, res) =>
+    answerOk(req, res, 'x'.repeat(2 * BODY_BYTES));
+  const {host, customerPort} = board.settings;
+  const socket = connect(customerPort, host);
+  t.teardown(() => socket.destroy());
+  const head = formatForward('a', 'content-length: 5').split('\r\n');
+  head.splice(3, 1, 'x-deadline-ms: 5000');
+  socket.write(`${head.join('\r\n')}order`);
+  await until(() => board.counters.get('entry_answered'));
+  t.true(board.answers.waitingBytes > 0);
+  t.is(board.bodies.usedBytes, 0);
+});
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -40,12 +40,16 @@
   type AnswerEvents,
   createAnswerBudget,
 } from './answer_budget.js';
+import {type BodyBudget, createBodyBudget} from './body_budget.js';
 import type {DecisionLog} from './decision_log.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
 
 /** Share of the process memory that answers may use. */
 const ANSWER_MEMORY_SHARE = 0.35;
 
+/** Share of the process memory that request bodies may use. */
+const BODY_MEMORY_SHARE = 0.15;
+
 /** A long poll of a peer that waits for a change. */
 export interface PendingPoll {
   /** Monotonic time at which the copy had last matched the store when the poll
@@ -94,6 +98,8 @@
   /** Memory for answers of the local upstream and of other daemons, until they
    * have gone out. */
   readonly answers: AnswerBudget;
+  /** Memory for the request bodies of customers and of other daemons. */
+  readonly bodies: BodyBudget;
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
   readonly announcedLeaving: Map<string, number>;
@@ -154,6 +160,9 @@
       deps.now,
       createAnswerEvents(deps, counters),
     ),
+    bodies: createBodyBudget(
+      Math.floor(deps.settings.memoryMb * 1_048_576 * BODY_MEMORY_SHARE),
+    ),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
     loggedCopyState: 'current',
--- /dev/null
+++ b/src/sidecar/body_budget.ts
@@ -0,0 +1,71 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Memory for the request bodies of customers and of other daemons. */
+export interface BodyBudget {
+  readonly limitBytes: number;
+  /** Bytes of all bodies. */
+  usedBytes: number;
+}
+
+/** Creates an empty budget. */
+export function createBodyBudget(limitBytes: number): BodyBudget {
+  return {limitBytes, usedBytes: 0};
+}
+
+/** What one body counts for. */
+export interface BodyHold {
+  /** Counts received bytes; false when they exceed the budget. */
+  add(bytes: number): boolean;
+  /** Releases the bytes; none are counted afterwards. */
+  release(): void;
+  /** True once the bytes were released. */
+  isReleased(): boolean;
+}
+
+/** Creates the entry of a body of which nothing was received. */
+export function createBodyHold(budget: BodyBudget): BodyHold {
+  let size = 0;
+  let released = false;
+  return {
+    add(bytes) {
+      if (released) return true;
+      size += bytes;
+      budget.usedBytes += bytes;
+      return budget.usedBytes <= budget.limitBytes;
+    },
+    release() {
+      released = true;
+      budget.usedBytes -= size;
+      size = 0;
+    },
+    isReleased: () => released,
+  };
+}
+
+/**
+ * Reads a body, whose bytes count as they arrive: several may be read at the same
+ * time. Returns why it is not taken, or undefined if it was released meanwhile;
+ * rejects when the connection breaks. What was not read is left to the caller.
+ */
+export async function readCountedBody(
+  budget: BodyBudget,
+  hold: BodyHold,
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | 'tooLarge' | 'full' | undefined> {
+  const declared = Number(req.headers['content-length'] ?? 0);
+  if (declared > maxBytes) return 'tooLarge';
+  if (budget.usedBytes + declared > budget.limitBytes) return 'full';
+  const chunks: Buffer[] = [];
+  let size = 0;
+  const input = req.iterator({destroyOnReturn: false});
+  for await (const chunk of input as AsyncIterable<Buffer>) {
+    if (hold.isReleased()) return undefined;
+    size += chunk.length;
+    const fits = hold.add(chunk.length);
+    if (size > maxBytes) return 'tooLarge';
+    if (!fits) return 'full';
+    chunks.push(chunk);
+  }
+  return hold.isReleased() ? undefined : Buffer.concat(chunks);
+}
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -35,8 +35,6 @@
   (req: IncomingMessage, res: ServerResponse, turn: RequestTurn): void;
   /** Requests in progress. */
   countRunning(): number;
-  /** Bytes of request bodies that are held. */
-  countBodyBytes(): number;
   close(): Promise<void>;
 }
 
@@ -52,7 +50,6 @@
       budget: board.answers,
     }),
     running: 0,
-    bodyBytes: 0,
   };
   const handle = (
     req: IncomingMessage,
@@ -73,7 +70,6 @@
   };
   return Object.assign(handle, {
     countRunning: () => state.running,
-    countBodyBytes: () => state.bodyBytes,
     close: () => state.client.close(),
   });
 }
--- a/src/sidecar/exchange.ts
+++ b/src/sidecar/exchange.ts
@@ -18,8 +18,6 @@
   readonly client: HttpClient;
   /** Requests in progress. */
   running: number;
-  /** Request bodies held in memory, bytes. */
-  bodyBytes: number;
 }
 
 /** One request of a customer in progress. */
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -48,6 +48,13 @@
   else finishRefused(state, exchange, outcome);
 }
 
+/** Ends the handling of a request, which needs its body no more. */
+function endExchange(exchange: Exchange): void {
+  exchange.ended = true;
+  exchange.releaseBody?.();
+  exchange.body = undefined;
+}
+
 /** Sends an upstream's answer to the customer. */
 export function finishAnswered(
   state: EntryState,
@@ -55,7 +62,7 @@
   answer: HttpAnswer,
 ): void {
   if (exchange.ended) return answer.release();
-  exchange.ended = true;
+  endExchange(exchange);
   // The error answer of an earlier attempt is not needed any more.
   if (exchange.errorAnswer !== answer) exchange.errorAnswer?.release();
   exchange.errorAnswer = undefined;
@@ -89,7 +96,7 @@
   outcome: Outcome,
 ): void {
   if (exchange.ended) return;
-  exchange.ended = true;
+  endExchange(exchange);
   const {board} = state;
   const {res, req} = exchange;
   const {status} = OUTCOMES[outcome];
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -28,13 +28,12 @@
 }
 
 /**
- * Reads a forwarded request; undefined when its metadata is malformed. `lagMs`
+ * Reads the head of a forwarded request; undefined when its metadata is malformed. `lagMs`
  * is the time that it may have waited unread.
  */
 export function readForward(
   req: IncomingMessage,
   requestIdHeader: string,
-  body: Buffer | undefined,
   lagMs: number,
 ): ForwardRequest | undefined {
   const terms = readHeader(req.headers, HEADERS.terms)?.split(',');
@@ -53,7 +52,7 @@
     method: req.method ?? 'GET',
     target: req.url ?? '/',
     headers: copyRawHeaders(req.rawHeaders, req.headers.connection, []),
-    body,
+    body: undefined,
     upstreamId,
     route,
     rank: numbers[0],
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -2,10 +2,12 @@
   type Outcome,
   type RouteTable,
   chooseService,
+  count,
   creditRequest,
   findRoute,
   listUpstreams,
 } from '../internal.js';
+import {createBodyHold, readCountedBody} from './body_budget.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyRawHeaders, countHeader, readHeader} from './header_copy.js';
 import {hasBody} from './inbound.js';
@@ -16,9 +18,6 @@
 /** Maximum share of a deadline that is reserved for sending the answer. */
 const ANSWER_MARGIN_SHARE = 0.1;
 
-/** Share of the process memory that request bodies may use. */
-const BODY_MEMORY_SHARE = 0.15;
-
 /** Checks the request head and sets the fields that depend on the route;
  * returns an outcome when the request is refused. */
 export function checkHead(
@@ -80,35 +79,16 @@
 ): Promise<Buffer | undefined | Outcome> {
   const {req} = exchange;
   if (!hasBody(req)) return undefined;
-  const {memoryMb} = state.board.settings;
-  const memoryBytes = memoryMb * 1_048_576 * BODY_MEMORY_SHARE;
-  const declared = Number(req.headers['content-length'] ?? 0);
-  if (declared > limitBytes) return 'tooLarge';
-  if (state.bodyBytes + declared > memoryBytes) return 'full';
-  const chunks: Buffer[] = [];
-  let size = 0;
-  let outcome: Outcome | undefined;
-  // Counted as they arrive: several bodies may be read at the same time.
-  exchange.releaseBody = () => {
-    state.bodyBytes -= size;
-    size = 0;
-  };
-  const input = req.iterator({destroyOnReturn: false});
+  const {bodies} = state.board;
+  const hold = createBodyHold(bodies);
+  exchange.releaseBody = hold.release;
   try {
-    for await (const chunk of input as AsyncIterable<Buffer>) {
-      // The memory was released when the customer disconnected.
-      if (exchange.ended) return undefined;
-      size += chunk.length;
-      state.bodyBytes += chunk.length;
-      if (size > limitBytes) outcome = 'tooLarge';
-      else if (state.bodyBytes > memoryBytes) outcome = 'full';
-      if (outcome) return outcome;
-      chunks.push(chunk);
-    }
+    const body = await readCountedBody(bodies, hold, req, limitBytes);
+    if (body === 'full') count(state.board, 'entry_refused_body_memory');
+    return body;
   } catch {
     // The customer disconnected; the close of the response ends the exchange.
     exchange.ended = true;
     return undefined;
   }
-  return Buffer.concat(chunks);
 }
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -8,8 +8,11 @@
   crashReportsSchema,
   applyCrashReports,
 } from './crash_reports.js';
+import {createBodyHold, readCountedBody} from './body_budget.js';
+import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {readForward, writeReply} from './forward_http.js';
 import type {Owner} from './owner.js';
+import {MEMORY_RETRY_MS, logRefusal} from './owner_checks.js';
 import {type ReplyWriter, createReplyWriter} from './reply_writer.js';
 import {ALIVE_PATH} from './peer_probe.js';
 import {serveState, STATE_PATH} from './peer_state.js';
@@ -53,23 +56,34 @@
   res: ServerResponse,
 ): Promise<void> {
   const lagMs = board.lag.read();
-  board.peerHeardAt = board.now();
-  const body = hasBody(req)
-    ? await readBody(req, Number.MAX_SAFE_INTEGER)
-    : undefined;
-  if (res.destroyed) return;
-  const request = readForward(req, board.names.requestId, body, lagMs);
+  const arrivedAt = board.now();
+  board.peerHeardAt = arrivedAt;
+  const request = readForward(req, board.names.requestId, lagMs);
   if (!request) {
     count(board, 'inbound_malformed');
     res.destroy();
     return;
   }
-  const deadlineAt = board.now() + request.remainingMs;
-  const call = owner.submit(request);
-  res.once('close', () => {
-    if (!res.writableFinished) call.abort();
-  });
-  const reply = await call.result;
+  const isHead = req.method === 'HEAD';
+  const hold = createBodyHold(board.bodies);
+  res.once('close', hold.release);
+  const body = hasBody(req)
+    ? await readCountedBody(board.bodies, hold, req, Infinity)
+    : undefined;
+  if (res.destroyed) return;
+  if (typeof body === 'string') {
+    hold.release();
+    const reply = refuseBody(board, owner, request, arrivedAt);
+    writeReply(res, reply, isHead, () => {});
+    // The next request of the connection follows the rest of the body.
+    req.resume();
+    return;
+  }
+  const {rank, remainingMs} = request;
+  const deadlineAt = board.now() + remainingMs;
+  const call = owner.submit({...request, body});
+  const reply = await awaitReply(res, call);
+  hold.release();
   if (reply.kind === 'answer') {
     if (res.destroyed) reply.answer.release();
     // Also when the head can't be written.
@@ -80,11 +94,45 @@
   res.once('finish', () => {
     recordLatency(board.metrics, 'reply_write', board.now() - writtenAt);
   });
-  writeReply(res, reply, req.method === 'HEAD', answer =>
-    endReply(res, answer, request.rank, deadlineAt),
+  writeReply(res, reply, isHead, answer =>
+    endReply(res, answer, rank, deadlineAt),
   );
 }
 
+/** Refuses a request for whose body there is no memory; the upstream has not got
+ * any of it. */
+function refuseBody(
+  board: SidecarBoard,
+  owner: Owner,
+  request: ForwardRequest,
+  arrivedAt: number,
+): ForwardReply {
+  count(board, 'owner_refused_full');
+  count(board, 'owner_refused_body_memory');
+  logRefusal(board, request, 'full', false);
+  return {
+    kind: 'refused',
+    outcome: 'full',
+    reachedUpstream: false,
+    retryAfterMs: MEMORY_RETRY_MS,
+    report: owner.readReport(),
+    heldMs: board.now() - arrivedAt,
+  };
+}
+
+/** Awaits the reply of the owner; aborts the call when the entry disconnects. The
+ * call, which holds the body, is not kept until the reply has gone out. */
+async function awaitReply(
+  res: ServerResponse,
+  call: ForwardCall,
+): Promise<ForwardReply> {
+  const abort = () => call.abort();
+  res.once('close', abort);
+  const reply = await call.result;
+  res.off('close', abort);
+  return reply;
+}
+
 /** True when the head of a request announces a body. */
 export function hasBody({headers}: IncomingMessage): boolean {
   const declared = headers['content-length'];
--- a/src/sidecar/resources.ts
+++ b/src/sidecar/resources.ts
@@ -8,8 +8,6 @@
 export interface EntryLoad {
   /** Open connections of customers. */
   readonly connections: number;
-  /** Bytes of request bodies that are held. */
-  readonly bodyBytes: number;
 }
 
 /** Memory of the process and what is known to hold it; bytes, but for
@@ -24,12 +22,14 @@
   /** Buffers, part of `externalBytes`. */
   readonly bufferBytes: number;
   readonly answerBytes: number;
+  /** Bytes of request bodies. */
+  readonly bodyBytes: number;
 }
 
 /** Reads the memory in use; too slow for each request. */
 export function readMemoryUse(
-  {settings, answers}: SidecarBoard,
-  {connections, bodyBytes}: EntryLoad,
+  {settings, answers, bodies}: SidecarBoard,
+  {connections}: EntryLoad,
 ): MemoryUse {
   const {rss, heapUsed, external, arrayBuffers} = process.memoryUsage();
   return {
@@ -39,7 +39,7 @@
     externalBytes: external,
     bufferBytes: arrayBuffers,
     answerBytes: answers.usedBytes,
-    bodyBytes,
+    bodyBytes: bodies.usedBytes,
     connections,
   };
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -135,10 +135,7 @@
     serveControl(board, owner, req, res),
   );
   const readyServer = createReadyServer(board, deps.readyPath);
-  const readLoad = () => ({
-    connections: customers.countOpen(),
-    bodyBytes: entry.countBodyBytes(),
-  });
+  const readLoad = () => ({connections: customers.countOpen()});
   const metricsServer = createMetricsServer(board, readLoad);
 
   const applyChanges = (changes: KeyChange[]): void => {
