End in order after a signal during the start

A daemon that got SIGTERM or SIGINT while it loaded its bundle ended by the signal, without a line of the log: the loader handled only SIGHUP.

The loader handles the three signals before it loads the bundle. Node hands a signal to all listeners of that moment once the event loop runs, so the handlers that the bundle registers meanwhile get it. A daemon that has no configuration stops without the pause.

--- a/__tests__/bundle.test.ts
+++ b/__tests__/bundle.test.ts
@@ -1,10 +1,14 @@
-import {execFileSync, spawn} from 'node:child_process';
-import {once} from 'node:events';
+import {execFileSync} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {createDaemonSettings} from '../soak/daemons.js';
+import {
+  type DaemonProcess,
+  createDirectory,
+  startProcess,
+} from './support/daemon_process.js';
 
 const ROOT = join(import.meta.dirname, '../..');
 
@@ -46,40 +50,50 @@
   'reads its settings': 'node.json',
 };
 
+/** Starts the deployed program, which sends itself a signal when it reads a
+ * file. */
+function startAndSignal(
+  t: ExecutionContext,
+  signal: NodeJS.Signals,
+  name: string,
+): DaemonProcess {
+  const dir = createDirectory(t);
+  // An address on which no other test listens.
+  const host = `127.78.${(process.pid >> 1) & 127}.1`;
+  const settings = createDaemonSettings('d0', host, 'z1', 's', []);
+  const file = join(dir, 'node.json');
+  writeFileSync(file, JSON.stringify(settings));
+  const preload = join(dir, 'preload.cjs');
+  writeFileSync(
+    preload,
+    `const fs = require('node:fs');
+    const {readFileSync} = fs;
+    fs.readFileSync = (path, ...args) => {
+      if (String(path).endsWith('${name}')) process.kill(process.pid, '${signal}');
+      return readFileSync(path, ...args);
+    };
+    require('node:module').syncBuiltinESMExports();`,
+  );
+  const args = [...readFlags('run'), '-r', preload, 'target/main.cjs'];
+  return startProcess(t, args, file, ROOT);
+}
+
 for (const [moment, name] of Object.entries(READ_FILES)) {
   // A reload during the start ended the process: there was no handler yet.
   test.serial(`a daemon that ${moment} survives SIGHUP`, async t => {
-    const dir = mkdtempSync(join(tmpdir(), 'berylbend-hup-'));
-    t.teardown(() => rmSync(dir, {recursive: true}));
-    // An address on which no other test listens.
-    const host = `127.78.${(process.pid >> 1) & 127}.1`;
-    const settings = createDaemonSettings('d0', host, 'z1', 's', []);
-    const file = join(dir, 'node.json');
-    writeFileSync(file, JSON.stringify(settings));
-    const preload = join(dir, 'preload.cjs');
-    writeFileSync(
-      preload,
-      `const fs = require('node:fs');
-      const {readFileSync} = fs;
-      fs.readFileSync = (path, ...args) => {
-        if (String(path).endsWith('${name}')) process.kill(process.pid, 'SIGHUP');
-        return readFileSync(path, ...args);
-      };
-      require('node:module').syncBuiltinESMExports();`,
-    );
-    const args = [...readFlags('run'), '-r', preload, 'target/main.cjs'];
-    const env = {...process.env, BERYLBEND_NODE_FILE: file};
-    const child = spawn(process.execPath, args, {cwd: ROOT, env});
-    t.teardown(() => child.kill('SIGKILL'));
-    let text = '';
-    child.stdout.on('data', (chunk: Buffer) => (text += chunk.toString()));
-    const exited = once(child, 'exit');
-    const started = new Promise<void>(resolve => {
-      child.stdout.on('data', () => {
-        if (text.includes('"decision":"started"')) resolve();
-      });
-    });
-    const end = await Promise.race([exited, started]);
-    t.is(end, undefined, `ended: ${String(end)}`);
+    const {waitForLine} = startAndSignal(t, 'SIGHUP', name);
+    await t.notThrowsAsync(waitForLine('started'));
   });
+
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    // A stop during the start ended the process by the signal, without a line.
+    test.serial(
+      `a daemon that ${moment} ends in order on ${signal}`,
+      async t => {
+        const {ended, waitForLine} = startAndSignal(t, signal, name);
+        await t.notThrowsAsync(waitForLine('stopped'));
+        t.deepEqual(await ended, [0, null]);
+      },
+    );
+  }
 }
--- a/__tests__/stop.test.ts
+++ b/__tests__/stop.test.ts
@@ -188,3 +188,14 @@
   for (const text of received) t.true(text.startsWith('HTTP/1.1 503'), text);
   await stopped;
 });
+
+// A daemon that was told to stop in its first moments waited for customers to
+// notice, though none had been sent to it.
+test.serial('a daemon that was never ready stops without a pause', async t => {
+  const {harness} = await startDaemon(t);
+  const idle = await harness.startAnother('dc1');
+  idle.board.table = undefined;
+  const stopped = idle.stop();
+  t.true(idle.board.closed);
+  await stopped;
+});
--- a/deploy/main.cjs
+++ b/deploy/main.cjs
@@ -1,8 +1,14 @@
 'use strict';
 
-// Without a handler SIGHUP ends the process, and loading the bundle takes most
-// of a start. The settings file is read later, so nothing is missed.
-if (require.main === module) process.on('SIGHUP', () => {});
+// Without a handler these signals end the process, and loading the bundle takes
+// most of a start. No signal is lost: the settings file is read later, and a
+// signal to stop is handed on once the event loop runs, also to the handlers that
+// the bundle registers while it loads.
+if (require.main === module) {
+  for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) {
+    process.on(signal, () => {});
+  }
+}
 
 // Runs the bundle from its code cache: compiling it takes longer than the rest
 // of a start. V8 ignores a cache of another version, architecture or set of
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -219,7 +219,11 @@
       board.stopping = true;
       board.exitAt = stopAt - EXIT_MARGIN_MS;
       log.write('always', 'stopping', {running: entry.countRunning()});
-      await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
+      // Without a configuration the daemon has never been ready: nobody has to
+      // notice that it stops.
+      if (board.table) {
+        await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
+      }
       board.closed = true;
       void stopListening(customerServer);
       customers.closeIdle();
