--- a/__tests__/platform_decode.test.ts
+++ b/__tests__/platform_decode.test.ts
@@ -172,6 +172,12 @@
     ['terms.bounds.grace', {...settings, terms: {...terms, bounds: {}}}],
     ['platform.platform.addr', {...settings, platform: {}}],
   ];
+  // Values that the daemon could not use ended it after its ports were open.
+  for (const addr of [5, 'a b:1', '10.0.0.1', '10.0.0.1:99999']) {
+    const value = {...settings, platform: {platform: {addr}}};
+    wrong.push(['platform.platform.addr', value]);
+  }
+  wrong.push(['self.ip', {...settings, self: {...self, ip: 'host'}}]);
   for (const [field, value] of wrong) {
     const err = t.throws(() => decodeSettings(value), {any: true});
     t.true((err as Error).message.startsWith(field), String(err));
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -34,6 +34,7 @@
   'readerSlow',
   'reloaded',
   'reloadFailed',
+  'settingsInvalid',
   'sourceChosen',
   'sourceLost',
   'sourceRecovered',
