Take up changed settings while a start waits for a port

A start that waits for a port for as long as it is taken did not read the settings file meanwhile: with an address or port that had been corrected since, it waited for ever.

The start follows the file while it waits, on SIGHUP at once. A valid change closes the ports that are open already and begins again with the new settings (`settingsChanged`). startSidecar closes its ports and clients when it rejects.

--- a/__tests__/start_ports.test.ts
+++ b/__tests__/start_ports.test.ts
@@ -32,9 +32,13 @@
 
 function startOn(t: ExecutionContext, host: string): DaemonProcess {
   const file = join(createDirectory(t), 'node.json');
+  writeSettings(file, host);
+  return startProcess(t, [MAIN_FILE], file);
+}
+
+function writeSettings(file: string, host: string): void {
   const settings = createDaemonSettings('d0', host, 'z1', 's', []);
   writeFileSync(file, JSON.stringify(settings));
-  return startProcess(t, [MAIN_FILE], file);
 }
 
 // A stop while the daemon waited for a port was noticed only after the wait.
@@ -100,3 +104,24 @@
   const [err] = (await once(socket, 'error')) as [NodeJS.ErrnoException];
   t.is(err.code, 'ECONNREFUSED');
 });
+
+// A start that waited at an old address or port did not see that the settings had
+// changed, and waited for ever.
+test('a start that waits for a port takes up changed settings', async t => {
+  t.timeout(30_000);
+  const host = formatHost(5);
+  await hold(t, PORTS.customer, host);
+  const file = join(createDirectory(t), 'node.json');
+  writeSettings(file, host);
+  const daemon = startProcess(t, [MAIN_FILE], file);
+  await daemon.waitForLine('portUnavailable');
+  const other = formatHost(6);
+  writeSettings(file, other);
+  daemon.child.kill('SIGHUP');
+  await daemon.waitForLine('started');
+  const socket = connect(PORTS.customer, other);
+  t.teardown(() => socket.destroy());
+  await t.notThrowsAsync(once(socket, 'connect'));
+  // The ports at the old address are free again.
+  await t.notThrowsAsync(hold(t, PORTS.ready, host));
+});
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -36,6 +36,7 @@
   'readerSlow',
   'reloaded',
   'reloadFailed',
+  'settingsChanged',
   'settingsInvalid',
   'sourceChosen',
   'sourceLost',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -97,9 +97,12 @@
     value: Buffer | undefined,
   ) => StoreUpdate | undefined;
   readonly log?: DecisionLog;
+  /** Ends the wait for ports that can't be bound yet. */
+  readonly signal?: AbortSignal;
 }
 
-/** Starts a sidecar: opens its ports; `follow` then starts the updates. */
+/** Starts a sidecar: opens its ports; `follow` then starts the updates. Rejects
+ * when a port can't be opened, with all of them closed. */
 export async function startSidecar(deps: SidecarDeps): Promise<Sidecar> {
   const {settings, names} = deps;
   const now = () => performance.now();
@@ -159,7 +162,25 @@
     applyTimeouts(customerServer, board);
     answerPendingPolls(board);
   };
+  const servers = [
+    customerServer,
+    peerServer,
+    controlServer,
+    readyServer,
+    metricsServer,
+  ];
   const closing = new AbortController();
+  const {signal = closing.signal} = deps;
+  const timers: NodeJS.Timeout[] = [];
+  const close = async (): Promise<void> => {
+    closing.abort();
+    timers.forEach(clearInterval);
+    for (const server of servers) server.closeAllConnections();
+    await Promise.all(servers.map(closePort));
+    const clients = [entry, crashClient, stateClient, probeClient];
+    await Promise.all(clients.map(client => client.close()));
+    await owner.stop();
+  };
   const open = async (
     purpose: string,
     server: Server,
@@ -169,7 +190,7 @@
     let waited = false;
     const waitedMs = await openPort(server, port, settings.host, {
       background,
-      signal: closing.signal,
+      signal: AbortSignal.any([signal, closing.signal]),
       onWait(code, waitedMs) {
         waited = true;
         const fields = {port, purpose, code, waitedMs};
@@ -186,17 +207,15 @@
   // The port for customers is the last one: a connection is served only once the
   // updates of the store begin, right after all ports are open. The readiness
   // check comes first; it fails until then.
-  await open('ready', readyServer, settings.readyPort);
-  await open('control', controlServer, settings.controlPort);
-  await open('peer', peerServer, settings.peerPort);
-  await open('customer', customerServer, settings.customerPort);
-  const servers = [
-    customerServer,
-    peerServer,
-    controlServer,
-    readyServer,
-    metricsServer,
-  ];
+  try {
+    await open('ready', readyServer, settings.readyPort);
+    await open('control', controlServer, settings.controlPort);
+    await open('peer', peerServer, settings.peerPort);
+    await open('customer', customerServer, settings.customerPort);
+  } catch (err) {
+    await close();
+    throw err;
+  }
   const ticker = setInterval(() => {
     recordLatency(board.metrics, 'loop_lag', board.lag.read());
     logCopyChange(board);
@@ -211,7 +230,7 @@
     readRss: () => process.memoryUsage.rss(),
     readUse: () => readMemoryUse(board, readLoad()),
   });
-  const memoryTimer = setInterval(checkMemory, MEMORY_CHECK_MS);
+  timers.push(ticker, setInterval(checkMemory, MEMORY_CHECK_MS));
   log.write('always', 'started', {service: settings.service});
 
   return {
@@ -260,15 +279,6 @@
       log.write('always', 'stopped', {running});
       await log.close();
     },
-    async close() {
-      clearInterval(ticker);
-      closing.abort();
-      clearInterval(memoryTimer);
-      for (const server of servers) server.closeAllConnections();
-      await Promise.all(servers.map(closePort));
-      const clients = [entry, crashClient, stateClient, probeClient];
-      await Promise.all(clients.map(client => client.close()));
-      await owner.stop();
-    },
+    close,
   };
 }
