--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -41,16 +41,16 @@
 import {createProbeClient, probeQuietPeers} from './peer_probe.js';
 import {
   applyTimeouts,
-  closePort,
   createControlServer,
   createCustomerServer,
   createMetricsServer,
   createPeerServer,
   createReadyServer,
-  openPort,
 } from './servers.js';
+import {closePort, openPort} from './ports.js';
 import {readMemoryUse} from './resources.js';
 import {randomInt} from 'node:crypto';
+import type {Server} from 'node:http';
 
 /** Time after SIGTERM for which new requests are accepted, ms: two readiness
  * checks, one second apart, must fail before customers go elsewhere. */
@@ -97,9 +97,12 @@
     value: Buffer | undefined,
   ) => StoreUpdate | undefined;
   readonly log?: DecisionLog;
+  /** Ends the wait for ports that can't be bound yet. */
+  readonly signal?: AbortSignal;
 }
 
-/** Starts a sidecar: opens its ports; `follow` then starts the updates. */
+/** Starts a sidecar: opens its ports; `follow` then starts the updates. Rejects
+ * when a port can't be opened, with all of them closed. */
 export async function startSidecar(deps: SidecarDeps): Promise<Sidecar> {
   const {settings, names} = deps;
   const now = () => performance.now();
@@ -156,12 +159,6 @@
     applyTimeouts(customerServer, board);
     answerPendingPolls(board);
   };
-  const {host} = settings;
-  await openPort(customerServer, settings.customerPort, host);
-  await openPort(peerServer, settings.peerPort, host);
-  await openPort(controlServer, settings.controlPort, host);
-  await openPort(readyServer, settings.readyPort, host);
-  await openPort(metricsServer, settings.metricsPort, host);
   const servers = [
     customerServer,
     peerServer,
@@ -169,6 +166,53 @@
     readyServer,
     metricsServer,
   ];
+  const closing = new AbortController();
+  const {signal = closing.signal} = deps;
+  const timers: NodeJS.Timeout[] = [];
+  const close = async (): Promise<void> => {
+    closing.abort();
+    timers.forEach(clearInterval);
+    for (const server of servers) server.closeAllConnections();
+    await Promise.all(servers.map(closePort));
+    const clients = [entry, crashClient, stateClient, probeClient];
+    await Promise.all(clients.map(client => client.close()));
+    await owner.stop();
+  };
+  const open = async (
+    purpose: string,
+    server: Server,
+    port: number,
+    background = false,
+  ): Promise<void> => {
+    let waited = false;
+    const waitedMs = await openPort(server, port, settings.host, {
+      background,
+      signal: AbortSignal.any([signal, closing.signal]),
+      onWait(code, waitedMs) {
+        waited = true;
+        const fields = {port, purpose, code, waitedMs};
+        log.write('notable', 'portUnavailable', fields);
+      },
+      onAcceptError(code) {
+        log.write('notable', 'acceptFailed', {port, purpose, code});
+      },
+    });
+    if (waited) log.write('always', 'portOpened', {port, purpose, waitedMs});
+  };
+  // No request needs this port, so no start waits for it.
+  open('metrics', metricsServer, settings.metricsPort, true).catch(() => {});
+  // The port for customers is the last one: a connection is served only once the
+  // updates of the store begin, right after all ports are open. The readiness
+  // check comes first; it fails until then.
+  try {
+    await open('ready', readyServer, settings.readyPort);
+    await open('control', controlServer, settings.controlPort);
+    await open('peer', peerServer, settings.peerPort);
+    await open('customer', customerServer, settings.customerPort);
+  } catch (err) {
+    await close();
+    throw err;
+  }
   const ticker = setInterval(() => {
     recordLatency(board.metrics, 'loop_lag', board.lag.read());
     logCopyChange(board);
@@ -183,7 +227,7 @@
     readRss: () => process.memoryUsage.rss(),
     readUse: () => readMemoryUse(board, readLoad()),
   });
-  const memoryTimer = setInterval(checkMemory, MEMORY_CHECK_MS);
+  timers.push(ticker, setInterval(checkMemory, MEMORY_CHECK_MS));
   log.write('always', 'started', {service: settings.service});
 
   return {
@@ -216,7 +260,11 @@
       board.stopping = true;
       board.exitAt = stopAt - EXIT_MARGIN_MS;
       log.write('always', 'stopping', {running: entry.countRunning()});
-      await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
+      // Without a configuration the daemon has never been ready: nobody has to
+      // notice that it stops.
+      if (board.table) {
+        await delay(Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2));
+      }
       board.closed = true;
       void stopListening(customerServer);
       customers.closeIdle();
@@ -228,14 +276,6 @@
       log.write('always', 'stopped', {running});
       await log.close();
     },
-    async close() {
-      clearInterval(ticker);
-      clearInterval(memoryTimer);
-      for (const server of servers) server.closeAllConnections();
-      await Promise.all(servers.map(closePort));
-      const clients = [entry, crashClient, stateClient, probeClient];
-      await Promise.all(clients.map(client => client.close()));
-      await owner.stop();
-    },
+    close,
   };
 }
