Contain the error of a request in that request

An upstream could end a daemon: it answered 500 with two Connection headers, and the attempt at another upstream got no answer by the deadline. The daemon beside it then ended by itself, with all requests of its instance.

Cause: the error answer of a first attempt is kept and sent by the timer of the deadline. Copying its headers threw there, and nothing handles what a timer throws.

Errors in the handling of a request now end that request: 502, as it may have run, or a closed connection once the head of an answer is written. They are counted and logged as entryError and ownerError.

--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -11,7 +11,12 @@
 import {hasAnswerRoom} from './answer_budget.js';
 import {type SidecarBoard, isOverdue} from './board.js';
 import {type EntryState, type Exchange, beginExchange} from './exchange.js';
-import {finishFailed, finishRefused, finishUnserved} from './finish.js';
+import {
+  finishFailed,
+  finishFaulty,
+  finishRefused,
+  finishUnserved,
+} from './finish.js';
 import {checkHead, receiveBody} from './head.js';
 import {createHttpClient} from './http_client.js';
 import {attemptForward, pickUpstream, handleReply} from './forward_attempt.js';
@@ -57,16 +62,9 @@
     turn: RequestTurn,
   ): void => {
     const exchange = beginExchange(state, req, res, turn);
-    serve(state, exchange).catch((err: Error) => {
-      count(board, 'entry_errors');
-      board.log.write('notable', 'entryError', {
-        request: exchange.id,
-        error: err.message,
-      });
-      // The request may have reached an upstream.
-      if (!res.headersSent) finishRefused(state, exchange, 'connectionBroken');
-      else res.destroy();
-    });
+    serve(state, exchange).catch((err: Error) =>
+      finishFaulty(state, exchange, err),
+    );
   };
   return Object.assign(handle, {
     countRunning: () => state.running,
@@ -119,7 +117,13 @@
   const isolated = classification.action === 'alone';
   if (isolated) startIsolatedRun(board.suspects, exchange.fingerprint);
   exchange.cancelTimeout = setReplyTimeout(
-    () => expire(state, exchange),
+    () => {
+      try {
+        expire(state, exchange);
+      } catch (err) {
+        finishFaulty(state, exchange, err as Error);
+      }
+    },
     Math.ceil(exchange.expiresAt - now) + TIMER_RESOLUTION_MS,
   );
   try {
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -115,6 +115,38 @@
   if (isUnread) req.resume();
 }
 
+/**
+ * Ends a request whose handling threw: the error of one request must not end the
+ * process, nor leave its customer without an answer.
+ */
+export function finishFaulty(
+  state: EntryState,
+  exchange: Exchange,
+  err: Error,
+): void {
+  const {board} = state;
+  const {res, call} = exchange;
+  count(board, 'entry_errors');
+  board.log.write('notable', 'entryError', {
+    request: exchange.id,
+    error: err.message,
+  });
+  call?.abort();
+  if (res.writableEnded || res.destroyed) return;
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  // The error may have come after the request was marked as ended.
+  exchange.ended = false;
+  try {
+    // The request may have reached an upstream.
+    finishRefused(state, exchange, 'connectionBroken');
+  } catch {
+    res.destroy();
+  }
+}
+
 /** Tells a customer of a stopping daemon not to reuse the connection, unless
  * later requests of it have been read. */
 function announceClose({board}: EntryState, {res, turn}: Exchange): void {
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -199,11 +199,22 @@
       recordLatency(board.metrics, 'owner_queue', startedAt - arrivedAt);
       call = startCall(state, request, deadlineAt);
       state.running.add(request);
-      void call.result.then(httpResult => {
-        state.running.delete(request);
-        concludeCall(state, request, httpResult, startedAt, refuse, end);
-        processQueue(state);
-      });
+      call.result
+        .then(httpResult => {
+          state.running.delete(request);
+          concludeCall(state, request, httpResult, startedAt, refuse, end);
+          processQueue(state);
+        })
+        .catch((err: Error) => {
+          count(board, 'owner_errors');
+          board.log.write('notable', 'ownerError', {
+            request: request.requestId,
+            error: err.message,
+          });
+          // The request may have run.
+          const outcome = 'connectionBroken';
+          end({kind: 'broken', outcome, code: 'OWNER_ERROR'});
+        });
     },
     refuse,
   };
