Survive a process without free descriptors, and log a heap near its limit

Memory that can't be read is left out now. The heap is read by other means, and memoryHigh tells a heap near its limit as well: the runtime ends a process above it, at a resident memory that was not high, and no line said so.

--- a/__tests__/memory_watch.test.ts
+++ b/__tests__/memory_watch.test.ts
@@ -5,6 +5,8 @@
 
 const LIMIT_BYTES = 1_000;
 
+const HEAP_LIMIT_BYTES = 100;
+
 // Memory near its limit left no line; a line at each check would fill the log.
 test('memory is logged as it crosses the marks', async t => {
   const lines: Array<Record<string, unknown>> = [];
@@ -17,15 +19,15 @@
       done();
     },
   });
-  let rssBytes = 0;
+  let rssBytes: number | undefined;
+  let heapBytes = 1;
   const check = createMemoryWatch({
     log,
-    limitBytes: LIMIT_BYTES,
-    readRss: () => rssBytes,
     readUse: () => ({
       rssBytes,
       limitBytes: LIMIT_BYTES,
-      heapBytes: 1,
+      heapBytes,
+      heapLimitBytes: HEAP_LIMIT_BYTES,
       externalBytes: 2,
       bufferBytes: 3,
       answerBytes: 4,
@@ -36,18 +38,24 @@
   for (rssBytes of [100, 800, 801, 990, 750, 810, 700, 699, 750, 100, 900]) {
     check();
   }
+  // Only the heap is near its limit now, as request heads may take it there.
+  rssBytes = undefined;
+  for (heapBytes of [81, 90, 70, 69, 80, 81]) check();
   await log.close();
   t.deepEqual(
-    lines.map(line => [line.decision, line.rssBytes]),
+    lines.map(line => [line.decision, line.rssBytes, line.heapBytes]),
     [
-      ['memoryHigh', 801],
-      ['memoryNormal', 699],
-      ['memoryHigh', 900],
+      ['memoryHigh', 801, 1],
+      ['memoryNormal', 699, 1],
+      ['memoryHigh', 900, 1],
+      ['memoryNormal', undefined, 69],
+      ['memoryHigh', undefined, 81],
     ],
   );
   t.like(lines[0], {
     limitBytes: LIMIT_BYTES,
     heapBytes: 1,
+    heapLimitBytes: HEAP_LIMIT_BYTES,
     externalBytes: 2,
     bufferBytes: 3,
     answerBytes: 4,
--- a/src/sidecar/resources.ts
+++ b/src/sidecar/resources.ts
@@ -1,4 +1,5 @@
 import {readdirSync} from 'node:fs';
+import {getHeapStatistics} from 'node:v8';
 import type {SidecarBoard} from './board.js';
 
 /** Directory with one entry for each open descriptor of the process. */
@@ -13,29 +14,32 @@
 /** Memory of the process and what is known to hold it; bytes, but for
  * `connections`. */
 export interface MemoryUse extends EntryLoad {
-  readonly rssBytes: number;
+  /** Undefined while it can't be read. */
+  readonly rssBytes?: number;
   /** Limit that the settings state. */
   readonly limitBytes: number;
   readonly heapBytes: number;
-  /** Memory outside the heap, including buffers. */
-  readonly externalBytes: number;
+  /** Limit above which the runtime ends the process. */
+  readonly heapLimitBytes: number;
+  /** Memory outside the heap, including buffers; undefined with `rssBytes`. */
+  readonly externalBytes?: number;
   /** Buffers, part of `externalBytes`. */
-  readonly bufferBytes: number;
+  readonly bufferBytes?: number;
   readonly answerBytes: number;
   /** Bytes of request bodies. */
   readonly bodyBytes: number;
 }
 
-/** Reads the memory in use; too slow for each request. */
+/** Reads the memory in use. */
 export function readMemoryUse(
   {settings, answers, bodies}: SidecarBoard,
   {connections}: EntryLoad,
 ): MemoryUse {
-  const {rss, heapUsed, external, arrayBuffers} = process.memoryUsage();
+  const {rss, external, arrayBuffers} = tryRead(process.memoryUsage) ?? {};
   return {
     rssBytes: rss,
     limitBytes: settings.memoryMb * 1_048_576,
-    heapBytes: heapUsed,
+    ...readHeap(),
     externalBytes: external,
     bufferBytes: arrayBuffers,
     answerBytes: answers.usedBytes,
@@ -44,6 +48,25 @@
   };
 }
 
+/** Reads the heap in use and its limit, bytes. */
+function readHeap(): {heapBytes: number; heapLimitBytes: number} {
+  const heap = getHeapStatistics();
+  return {
+    heapBytes: heap.used_heap_size,
+    heapLimitBytes: heap.heap_size_limit,
+  };
+}
+
+/** Reading the resident memory opens a file, which throws while the process has no
+ * descriptor left. */
+function tryRead<T>(read: () => T): T | undefined {
+  try {
+    return read();
+  } catch {
+    return undefined;
+  }
+}
+
 /** Counts the open descriptors; undefined where the system does not show them. */
 export function countDescriptors(): number | undefined {
   try {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -221,12 +221,8 @@
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
     }
   }, LAG_WINDOW_MS);
-  const checkMemory = createMemoryWatch({
-    log,
-    limitBytes: settings.memoryMb * 1_048_576,
-    readRss: () => process.memoryUsage.rss(),
-    readUse: () => readMemoryUse(board, readLoad()),
-  });
+  const readUse = () => readMemoryUse(board, readLoad());
+  const checkMemory = createMemoryWatch({log, readUse});
   timers.push(ticker, setInterval(checkMemory, MEMORY_CHECK_MS));
   log.write('always', 'started', {service: settings.service});
 
