Keep the expected size of answers through refusals

While memory for answers was short, refusals of owners counted as answers without a body, so the room that is set aside for a route vanished just then: 20 of them took a mean of 500,000 bytes to 60,788. And for answers above 0.2 of the limit the lines answersShort and answersAmple came in turns, one for each refused request.

Only successful answers with a body count for the mean now, and a shortage ends no sooner than a request is let in.

Evidence: two tests, "refusals do not lower the expected size of answers" (7,290 for 10,000) and "a shortage lasts as long as requests are refused" (a line for each call), fail before and pass now.

--- a/__tests__/answer_budget.test.ts
+++ b/__tests__/answer_budget.test.ts
@@ -102,3 +102,15 @@
   recordAnswerBytes(budget, 'r', 5_000);
   t.true(hasAnswerRoom(budget, 'r'));
 });
+
+// With answers of half the limit, a call that was refused said at the same time
+// that the shortage had ended.
+test('a shortage lasts as long as requests are refused', t => {
+  const {budget, shortages} = createFixture();
+  recordAnswerBytes(budget, 'large', 500);
+  budget.usedBytes = 400;
+  for (let i = 0; i < 4; i++) t.false(hasAnswerRoom(budget, 'large'));
+  budget.usedBytes = 300;
+  t.true(hasAnswerRoom(budget, 'large'));
+  t.deepEqual(shortages, [true, false]);
+});
--- a/__tests__/answer_memory.test.ts
+++ b/__tests__/answer_memory.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import {predictAnswerBytes} from '../src/sidecar/answer_budget.js';
 import {resetConnection} from '../standins/reset_connection.js';
 import {
   type HarnessUpstream,
@@ -327,3 +328,27 @@
     }
   });
 }
+
+// The refusals of an owner counted as answers without a body, so that the room
+// that is set aside for a route vanished just when memory was short.
+test.serial('refusals do not lower the expected size of answers', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  const size = 10_000;
+  own.handle = (req, res) => answerOk(req, res, 'x'.repeat(size));
+  await harness.send(0, {path: '/book/1', method: 'POST'});
+  t.is(predictAnswerBytes(board.answers, 'book'), size);
+  harness.store.remove('servers/u0');
+  const refused: string[] = [];
+  await harness.addPeer(t, 'dc1', (req, res) => {
+    refused.push(String(req.headers['x-request-id']));
+    const verdict = {'berylbend-verdict': 'not-run', 'content-length': 0};
+    res.writeHead(503, {...verdict, 'berylbend-reason': 'full'}).end();
+  });
+  await until(() => board.list.byId.has('peer') && !board.list.byId.has('u0'));
+  while (refused.length < 3) {
+    await harness.send(0, {path: '/book/1', method: 'POST'});
+  }
+  t.is(predictAnswerBytes(board.answers, 'book'), size);
+});
--- a/src/sidecar/answer_budget.ts
+++ b/src/sidecar/answer_budget.ts
@@ -102,12 +102,14 @@
   return Math.round(meanBytes.get(route) ?? 0);
 }
 
-/** Records the size of a route's answer, bytes. */
+/** Records the size of a successful answer of a route, bytes. Refusals and empty
+ * answers would lower the mean just when memory is short. */
 export function recordAnswerBytes(
   {meanBytes}: AnswerBudget,
   route: string,
   bytes: number,
 ): void {
+  if (bytes === 0) return;
   const mean = meanBytes.get(route) ?? bytes;
   meanBytes.set(route, mean + SIZE_GAIN * (bytes - mean));
 }
@@ -123,9 +125,8 @@
     dropStalled(budget, () => fitsNewWork(budget, neededBytes));
   }
   const fits = fitsNewWork(budget, neededBytes);
-  const isShort = budget.isShort
-    ? countHeldBytes(budget) > limitBytes * SHORTAGE_END_SHARE
-    : !fits;
+  const isAmple = countHeldBytes(budget) <= limitBytes * SHORTAGE_END_SHARE;
+  const isShort = budget.isShort ? !fits || !isAmple : !fits;
   if (isShort !== budget.isShort) {
     budget.isShort = isShort;
     events.onShortage?.(budget);
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -14,6 +14,7 @@
 } from '../internal.js';
 import {recordLatency} from '../daemon/metrics.js';
 import {isLeaving, recordLeaving} from './announcements.js';
+import {recordAnswerBytes} from './answer_budget.js';
 import type {SidecarBoard} from './board.js';
 import {type EntryState, type Exchange, MAX_FORWARDS} from './exchange.js';
 import {finishAnswered, finishFailed, logResend} from './finish.js';
@@ -89,6 +90,9 @@
   const bytes = (exchange.body?.length ?? 0) + answer.body.length;
   const meanBytes = board.routeBytes.get(name) ?? bytes;
   board.routeBytes.set(name, meanBytes + BYTES_GAIN * (bytes - meanBytes));
+  if (answer.status < 300) {
+    recordAnswerBytes(board.answers, name, answer.body.length);
+  }
 }
 
 /** Forwards the request to the owner of an upstream; awaits the result. */
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -7,7 +7,6 @@
   createAnswerBudget,
   keepAnswer,
   predictAnswerBytes,
-  recordAnswerBytes,
   releaseAnswer,
 } from './answer_budget.js';
 
@@ -322,10 +321,8 @@
 
   /** Keeps the answer to a customer's request in the budget. */
   #keep(): () => void {
-    const {budget, size, request} = this;
-    const {route} = request;
-    if (route === undefined) return () => {};
-    recordAnswerBytes(budget, route, size);
+    const {budget, request} = this;
+    if (request.route === undefined) return () => {};
     return keepAnswer(budget, this);
   }
 
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -17,6 +17,7 @@
   setStatedRate,
   removeQueued,
 } from '../internal.js';
+import {recordAnswerBytes} from './answer_budget.js';
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {
@@ -340,6 +341,9 @@
     return;
   }
   finish(answer.status >= 500 ? 'failed' : 'answered');
+  if (answer.status < 300) {
+    recordAnswerBytes(board.answers, request.route, answer.body.length);
+  }
   recordLatency(board.metrics, 'upstream', heldMs);
   recordFinished(board.suspects, request.fingerprint, now);
   end({kind: 'answer', answer});
