Split the fault soak into run, harness and faults

No change of behaviour: soak.ts keeps the run, harness.ts the state and the restarts that several kinds share, faults.ts the table of kinds.

--- /dev/null
+++ b/soak/harness.ts
@@ -0,0 +1,146 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {FakeStore} from '../standins/kv_store.js';
+import type {Bounds, Checker} from './checker.js';
+import {ROUTE_TIMEOUT_MS} from './customers.js';
+import type {Daemon} from './daemons.js';
+import type {FaultProxy} from './proxy.js';
+import type {StoreServer} from './store_server.js';
+import {COLD_PER_S, type Upstream} from './upstream.js';
+
+/** Documented bounds; the settings of the daemons hold the same values. */
+export const BOUNDS: Bounds = {
+  drainMs: 2_000,
+  evacuationMs: 5_000,
+  coldRateFactor: 1.5,
+  coldSlack: 5,
+  resendRatio: 0.2,
+  resendSlack: 20,
+  resendWindowMs: 10_000,
+};
+
+/** Number of newest versions that each have a route of their own. */
+export const ROUTED_VERSIONS = 3;
+
+/** Time from the end of a stopped daemon to its start, ms; the customers see the
+ * end of its connections before. */
+const RESTART_DELAY_MS = 100;
+
+/** State of a run, shared by its faults and checks. */
+export interface Harness {
+  readonly store: FakeStore;
+  readonly storeServer: StoreServer;
+  readonly daemons: Daemon[];
+  readonly upstreams: Upstream[];
+  readonly storeProxies: FaultProxy[];
+  readonly appProxies: FaultProxy[];
+  readonly checker: Checker;
+  /** Selects the faults. */
+  readonly random: () => number;
+  /** Selects requests and the answers of store and upstreams. */
+  readonly trafficRandom: () => number;
+  readonly now: () => number;
+  /** Monotonic time until which the store is disrupted, ms. */
+  disruptedUntil: number;
+  version: number;
+  /** Monotonic time of the newest version's publication, ms. */
+  publishedAt: number;
+  /** Maximum time until a published version is in force, ms. */
+  readonly configLimitMs: number;
+  readonly kinds: readonly string[];
+  readonly faults: string[];
+  readonly pendingRecoveries: Set<Promise<void>>;
+}
+
+/** Publishes a version with its own route, which probes request. */
+export function publish(harness: Harness): void {
+  const version = ++harness.version;
+  harness.publishedAt = harness.now();
+  const createRoute = (name: string, kind: string, service: string) => ({
+    ...{name, kind, service, host: 'shop.example', path_prefix: `/${name}/`},
+    ...{timeout: `${ROUTE_TIMEOUT_MS}ms`, goal: '300ms', attempts: 2},
+    priority: kind === 'idempotent' ? 2 : 1,
+  });
+  const routes = ['a', 'b'].flatMap(service => [
+    createRoute(`read-${service}`, 'idempotent', service),
+    createRoute(`book-${service}`, 'non_idempotent', service),
+  ]);
+  for (let v = Math.max(1, version - ROUTED_VERSIONS + 1); v <= version; v++) {
+    routes.push(createRoute(`v${v}`, 'idempotent', v % 2 ? 'a' : 'b'));
+  }
+  const services = ['a', 'b'].map(name => ({
+    ...{name, health_path: '/healthz', max_conns: 100},
+    ...{cold: '2s', cold_per_s: COLD_PER_S},
+  }));
+  const limits = {
+    ...{max_header_bytes: 16_384, max_body_bytes: 1_000_000},
+    ...{header_timeout: '3s', idle_timeout: '15s'},
+  };
+  const versionText = version.toString(16).padStart(8, '0');
+  harness.store.put('op/config', {
+    version: versionText,
+    routes,
+    services,
+    limits,
+  });
+}
+
+/** Injects a fault; returns a description, or undefined if not possible. */
+export type Fault = (harness: Harness) => string | undefined;
+
+/** Chooses an element of a list. */
+export function pickFrom<T>({random}: Harness, list: readonly T[]): T {
+  return list[Math.floor(random() * list.length)];
+}
+
+/** Runs the recovery from a fault; the run waits for it before it ends. */
+export function runRecovery(
+  harness: Harness,
+  recover: () => Promise<void>,
+): void {
+  const recovery = recover().finally(() =>
+    harness.pendingRecoveries.delete(recovery),
+  );
+  harness.pendingRecoveries.add(recovery);
+}
+
+/** Chooses a daemon that runs; undefined when too few do. */
+export function pickRunningDaemon(harness: Harness): Daemon | undefined {
+  const running = harness.daemons.filter(daemon => daemon.running);
+  // Keeps at least half of the daemons running.
+  return running.length > harness.daemons.length / 2
+    ? pickFrom(harness, running)
+    : undefined;
+}
+
+/** Records that a daemon is disrupted now. */
+export function markDisrupted(harness: Harness, daemon: Daemon): void {
+  daemon.disruptedAt = harness.now();
+}
+
+/** Kills a daemon and starts it again. */
+export function killDaemon(harness: Harness, daemon: Daemon): void {
+  markDisrupted(harness, daemon);
+  daemon.signal('SIGKILL');
+  runRecovery(harness, async () => {
+    await daemon.waitForExit();
+    await delay(300);
+    daemon.start();
+    markDisrupted(harness, daemon);
+  });
+}
+
+/** Stops a daemon as planned, checks its exit code and starts it again. */
+export function stopDaemon(harness: Harness, daemon: Daemon): void {
+  daemon.signal('SIGTERM');
+  runRecovery(harness, async () => {
+    const code = await daemon.waitForExit();
+    if (code !== 0 && code !== null) {
+      harness.checker.violations.push(
+        `${daemon.name} exited with code ${code}`,
+      );
+    }
+    await delay(RESTART_DELAY_MS);
+    daemon.start();
+    markDisrupted(harness, daemon);
+  });
+}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -3,30 +3,23 @@
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '../src/internal.js';
-import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
+import {createFakeStore} from '../standins/kv_store.js';
 import {startConnections} from './connections.js';
 import {checkCopies} from './copies.js';
 import {ROUTE_TIMEOUT_MS, sendRequest, startCustomers} from './customers.js';
 import {Daemon, createDaemonSettings, PORTS, RECOVERY_MS} from './daemons.js';
 import {type Bounds, Checker} from './checker.js';
-import {type FaultProxy, type ProxyMode, startFaultProxy} from './proxy.js';
+import {FAULTS, ZONES} from './faults.js';
 import {
-  startStoreServer,
-  type StoreMode,
-  type StoreServer,
-} from './store_server.js';
-import {COLD_PER_S, type Spoiling, Upstream} from './upstream.js';
-
-/** Documented bounds; the settings of the daemons hold the same values. */
-const BOUNDS: Bounds = {
-  drainMs: 2_000,
-  evacuationMs: 5_000,
-  coldRateFactor: 1.5,
-  coldSlack: 5,
-  resendRatio: 0.2,
-  resendSlack: 20,
-  resendWindowMs: 10_000,
-};
+  BOUNDS,
+  type Harness,
+  pickFrom,
+  publish,
+  ROUTED_VERSIONS,
+} from './harness.js';
+import {startFaultProxy} from './proxy.js';
+import {startStoreServer} from './store_server.js';
+import {Upstream} from './upstream.js';
 
 /** Bounds without limits on time and on the load of cold upstreams. */
 const UNTIMED_BOUNDS: Bounds = {
@@ -39,30 +32,18 @@
 /** Maximum time until a published version is in force, ms. */
 const CONFIG_LIMIT_MS = 2_000;
 
-/** Number of newest versions that each have a route of their own. */
-const ROUTED_VERSIONS = 3;
-
 /** Time between two faults, ms; shorter than most faults, so they overlap. */
 const FAULT_GAP_MS = {shortest: 250, spread: 900};
 
 /** Interval of the probes of the version in force at a daemon, ms. */
 const PROBE_INTERVAL_MS = 150;
 
-/** Share of planned stops that affect several daemons. */
-const GROUP_STOP_SHARE = 0.3;
-
-/** Time from the end of a stopped daemon to its start, ms; the customers see the
- * end of its connections before. */
-const RESTART_DELAY_MS = 100;
-
 /** Maximum time until all daemons are ready after the start, ms. */
 const READY_TIMEOUT_MS = 20_000;
 
 /** Items of one page of the store: a full read takes several. */
 const PAGE_SIZE = 4;
 
-const ZONES = ['z1', 'z2', 'z3'];
-
 /** Options of a run; equal options inject the same faults. */
 export interface SoakOptions {
   readonly seed: number;
@@ -87,31 +68,6 @@
   readonly dir: string;
 }
 
-interface Harness {
-  readonly store: FakeStore;
-  readonly storeServer: StoreServer;
-  readonly daemons: Daemon[];
-  readonly upstreams: Upstream[];
-  readonly storeProxies: FaultProxy[];
-  readonly appProxies: FaultProxy[];
-  readonly checker: Checker;
-  /** Selects the faults. */
-  readonly random: () => number;
-  /** Selects requests and the answers of store and upstreams. */
-  readonly trafficRandom: () => number;
-  readonly now: () => number;
-  /** Monotonic time until which the store is disrupted, ms. */
-  disruptedUntil: number;
-  version: number;
-  /** Monotonic time of the newest version's publication, ms. */
-  publishedAt: number;
-  /** Maximum time until a published version is in force, ms. */
-  readonly configLimitMs: number;
-  readonly kinds: readonly string[];
-  readonly faults: string[];
-  readonly pendingRecoveries: Set<Promise<void>>;
-}
-
 /** Runs daemon processes under random faults and checks the guarantees. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const dir = mkdtempSync(join(tmpdir(), `berylbend-soak-${options.seed}-`));
@@ -247,39 +203,6 @@
   }
 }
 
-/** Publishes a version with its own route, which probes request. */
-function publish(harness: Harness): void {
-  const version = ++harness.version;
-  harness.publishedAt = harness.now();
-  const createRoute = (name: string, kind: string, service: string) => ({
-    ...{name, kind, service, host: 'shop.example', path_prefix: `/${name}/`},
-    ...{timeout: `${ROUTE_TIMEOUT_MS}ms`, goal: '300ms', attempts: 2},
-    priority: kind === 'idempotent' ? 2 : 1,
-  });
-  const routes = ['a', 'b'].flatMap(service => [
-    createRoute(`read-${service}`, 'idempotent', service),
-    createRoute(`book-${service}`, 'non_idempotent', service),
-  ]);
-  for (let v = Math.max(1, version - ROUTED_VERSIONS + 1); v <= version; v++) {
-    routes.push(createRoute(`v${v}`, 'idempotent', v % 2 ? 'a' : 'b'));
-  }
-  const services = ['a', 'b'].map(name => ({
-    ...{name, health_path: '/healthz', max_conns: 100},
-    ...{cold: '2s', cold_per_s: COLD_PER_S},
-  }));
-  const limits = {
-    ...{max_header_bytes: 16_384, max_body_bytes: 1_000_000},
-    ...{header_timeout: '3s', idle_timeout: '15s'},
-  };
-  const versionText = version.toString(16).padStart(8, '0');
-  harness.store.put('op/config', {
-    version: versionText,
-    routes,
-    services,
-    limits,
-  });
-}
-
 /** Probes a daemon for the newest version; returns a stop function. */
 function probeVersions(
   harness: Harness,
@@ -319,303 +242,6 @@
   return () => clearInterval(timer);
 }
 
-/** Injects a fault; returns a description, or undefined if not possible. */
-type Fault = (harness: Harness) => string | undefined;
-
-function pickFrom<T>({random}: Harness, list: readonly T[]): T {
-  return list[Math.floor(random() * list.length)];
-}
-
-/** Runs the recovery from a fault; the run waits for it before it ends. */
-function runRecovery(harness: Harness, recover: () => Promise<void>): void {
-  const recovery = recover().finally(() =>
-    harness.pendingRecoveries.delete(recovery),
-  );
-  harness.pendingRecoveries.add(recovery);
-}
-
-function pickRunningDaemon(harness: Harness): Daemon | undefined {
-  const running = harness.daemons.filter(daemon => daemon.running);
-  // Keeps at least half of the daemons running.
-  return running.length > harness.daemons.length / 2
-    ? pickFrom(harness, running)
-    : undefined;
-}
-
-function markDisrupted(harness: Harness, daemon: Daemon): void {
-  daemon.disruptedAt = harness.now();
-}
-
-function killDaemon(harness: Harness, daemon: Daemon): void {
-  markDisrupted(harness, daemon);
-  daemon.signal('SIGKILL');
-  runRecovery(harness, async () => {
-    await daemon.waitForExit();
-    await delay(300);
-    daemon.start();
-    markDisrupted(harness, daemon);
-  });
-}
-
-function stopDaemon(harness: Harness, daemon: Daemon): void {
-  daemon.signal('SIGTERM');
-  runRecovery(harness, async () => {
-    const code = await daemon.waitForExit();
-    if (code !== 0 && code !== null) {
-      harness.checker.violations.push(
-        `${daemon.name} exited with code ${code}`,
-      );
-    }
-    await delay(RESTART_DELAY_MS);
-    daemon.start();
-    markDisrupted(harness, daemon);
-  });
-}
-
-function injectStoreFault(harness: Harness, mode: StoreMode): string {
-  const ms = 500 + 2_500 * harness.random();
-  harness.storeServer.mode = mode;
-  harness.disruptedUntil = harness.now() + ms;
-  runRecovery(harness, async () => {
-    await delay(ms);
-    harness.storeServer.mode = 'sound';
-    harness.disruptedUntil = Math.max(harness.disruptedUntil, harness.now());
-  });
-  return `${mode} for ${Math.round(ms)} ms`;
-}
-
-function injectProxyFault(
-  harness: Harness,
-  index: number,
-  proxy: FaultProxy,
-  mode: ProxyMode,
-): string {
-  const ms = 300 + 2_500 * harness.random();
-  const daemon = harness.daemons[index];
-  proxy.mode = mode;
-  daemon.disruptedAt = harness.now() + ms;
-  runRecovery(harness, async () => {
-    await delay(ms);
-    proxy.mode = 'pass';
-    markDisrupted(harness, daemon);
-  });
-  return `${daemon.name} ${mode} for ${Math.round(ms)} ms`;
-}
-
-function pickUpstream(harness: Harness): Upstream | undefined {
-  const available = harness.upstreams.filter(({id}) => !restartingIds.has(id));
-  // Keeps at least one upstream of each service running.
-  return available.length > harness.upstreams.length - 2
-    ? pickFrom(harness, available)
-    : undefined;
-}
-
-/** Time from the cut of a watch to a silent leave, ms. */
-const SILENT_LEAVE_MS = 100;
-
-/** Spoils answers of an upstream for a while. */
-function spoilAnswers(harness: Harness, spoiling: Spoiling): string {
-  const upstream = pickFrom(harness, harness.upstreams);
-  upstream.spoils = spoiling;
-  runRecovery(harness, async () => {
-    await delay(2_000);
-    upstream.spoils = undefined;
-  });
-  return upstream.name;
-}
-
-/** Identifiers of the incarnations that are being restarted. */
-const restartingIds = new Set<string>();
-
-function restartUpstream(
-  harness: Harness,
-  upstream: Upstream,
-  drainMs: number,
-  downMs: number,
-  isSilent = false,
-): void {
-  const {id} = upstream;
-  restartingIds.add(id);
-  if (isSilent) setTimeout(() => upstream.leave(), SILENT_LEAVE_MS);
-  else if (drainMs > 0) upstream.drain();
-  runRecovery(harness, async () => {
-    await delay(drainMs);
-    await upstream.crash();
-    await delay(downMs);
-    upstream.removeRecord();
-    await upstream.start();
-    restartingIds.delete(id);
-  });
-}
-
-const FAULTS: Record<string, Fault> = {
-  term(harness) {
-    const {daemons, random} = harness;
-    const count =
-      random() < GROUP_STOP_SHARE ? 2 + Math.floor(2 * random()) : 1;
-    // One that is stopping already may get a second signal.
-    const first = pickRunningDaemon(harness);
-    if (!first) return undefined;
-    const names = [first.name];
-    stopDaemon(harness, first);
-    while (names.length < count) {
-      const serving = daemons.filter(d => d.running && !d.isStopping);
-      // Keeps at least half of the daemons serving.
-      if (serving.length <= daemons.length / 2) break;
-      const daemon = pickFrom(harness, serving);
-      names.push(daemon.name);
-      stopDaemon(harness, daemon);
-    }
-    return names.join();
-  },
-  kill(harness) {
-    const daemon = pickRunningDaemon(harness);
-    if (daemon) killDaemon(harness, daemon);
-    return daemon?.name;
-  },
-  herdKill(harness) {
-    const selected = harness.daemons.filter(
-      (daemon, i) => i % 2 === 0 && daemon.running,
-    );
-    for (const daemon of selected) killDaemon(harness, daemon);
-    return selected.map(({name}) => name).join();
-  },
-  pause(harness) {
-    const daemon = pickRunningDaemon(harness);
-    if (!daemon) return undefined;
-    const ms = 200 + 2_000 * harness.random();
-    daemon.disruptedAt = harness.now() + ms;
-    daemon.signal('SIGSTOP');
-    runRecovery(harness, async () => {
-      await delay(ms);
-      daemon.signal('SIGCONT');
-      markDisrupted(harness, daemon);
-    });
-    return `${daemon.name} for ${Math.round(ms)} ms`;
-  },
-  reload(harness) {
-    const daemon = pickRunningDaemon(harness);
-    daemon?.signal('SIGHUP');
-    return daemon?.name;
-  },
-  storeDown: harness => injectStoreFault(harness, 'down'),
-  storeSlow: harness => injectStoreFault(harness, 'slow'),
-  storeLossy: harness => injectStoreFault(harness, 'lossy'),
-  splitReads(harness) {
-    const {store, storeServer} = harness;
-    // A read finds each of these writes on its last page, and may be the only
-    // one that they are news to.
-    let writes = 0;
-    store.onNextPage = () =>
-      store.put('zz/last', `${harness.faults.length}/${++writes}`);
-    runRecovery(harness, async () => {
-      await delay(3_000);
-      store.onNextPage = undefined;
-    });
-    storeServer.cutWatches();
-    const daemon = pickRunningDaemon(harness);
-    if (daemon) killDaemon(harness, daemon);
-    injectStoreFault(harness, 'held');
-    return daemon ? `${daemon.name} restarts` : 'no restart';
-  },
-  storeHeld: harness => injectStoreFault(harness, 'held'),
-  storeForgets(harness) {
-    harness.store.compact();
-    return 'history';
-  },
-  storeLink(harness) {
-    const i = Math.floor(harness.random() * harness.daemons.length);
-    const modes: ProxyMode[] = ['mute', 'silent', 'reset', 'delay'];
-    return injectProxyFault(
-      harness,
-      i,
-      harness.storeProxies[i],
-      pickFrom(harness, modes),
-    );
-  },
-  appLink(harness) {
-    const i = Math.floor(harness.random() * harness.daemons.length);
-    const mode = pickFrom<ProxyMode>(harness, ['reset', 'delay']);
-    return injectProxyFault(harness, i, harness.appProxies[i], mode);
-  },
-  lostAnswers(harness) {
-    const upstream = pickFrom(harness, harness.upstreams);
-    upstream.losesAnswers = true;
-    runRecovery(harness, async () => {
-      await delay(2_000);
-      upstream.losesAnswers = false;
-    });
-    return upstream.name;
-  },
-  resetAnswers: harness => spoilAnswers(harness, 'reset'),
-  strayAnswers: harness => spoilAnswers(harness, 'stray'),
-  oddEntries(harness) {
-    const keys = ZONES.flatMap((zone, z) =>
-      Array.from({length: 7}, (_, i) => {
-        const key = `servers/odd-${z}-${i}`;
-        harness.store.put(key, {
-          // 08 is no number: the padded octets can't be read as octal ones.
-          addr: `010.001.00${i}.0${z}8:8301`,
-          born: 1_000,
-          info: {service: 'exporter', version: 'v1', zone, slots: 6},
-          status: {state: 'ready', sequence: 1, cold_left: '0ms'},
-        });
-        return key;
-      }),
-    );
-    runRecovery(harness, async () => {
-      await delay(2_000);
-      for (const key of keys) harness.store.remove(key);
-    });
-    return `${keys.length} entries`;
-  },
-  cutWatch(harness) {
-    const target = pickUpstream(harness);
-    if (!target) return undefined;
-    harness.storeServer.cutWatches();
-    restartUpstream(harness, target, BOUNDS.drainMs + 1_000, 200, true);
-    return target.name;
-  },
-  crash(harness) {
-    const target = pickUpstream(harness);
-    if (target) restartUpstream(harness, target, 0, 2_000);
-    return target?.name;
-  },
-  drain(harness) {
-    const target = pickUpstream(harness);
-    if (target) restartUpstream(harness, target, BOUNDS.drainMs + 1_000, 200);
-    return target?.name;
-  },
-  takeOut(harness) {
-    const zone = pickFrom(harness, ZONES);
-    const inZone = harness.upstreams.filter(upstream => upstream.zone === zone);
-    if (harness.upstreams.some(({evacuatedAt}) => evacuatedAt !== undefined)) {
-      return undefined;
-    }
-    harness.store.put(`op/evacuate/${zone}`, {});
-    for (const upstream of inZone) upstream.evacuatedAt = harness.now();
-    runRecovery(harness, async () => {
-      await delay(6_000);
-      for (const upstream of inZone) upstream.evacuatedAt = undefined;
-      harness.store.remove(`op/evacuate/${zone}`);
-    });
-    return zone;
-  },
-  config(harness) {
-    publish(harness);
-    return `version ${harness.version}`;
-  },
-  storm(harness) {
-    runRecovery(harness, async () => {
-      for (let i = 0; i < 5; i++) {
-        publish(harness);
-        await delay(200);
-      }
-    });
-    return 'five versions';
-  },
-};
-
 function injectFault(harness: Harness): void {
   const kind = pickFrom(harness, harness.kinds);
   const detail = FAULTS[kind](harness);
