Soak: signals in the first moments of a start (earlySignal)

The soak starts the deployed program now, loader, bundle and flags of Node: modules load asynchronously, so a signal could arrive between the handlers of a preloaded module and those of the program and be lost, which cannot happen to the bundle. All kinds hold SIGHUP and SIGTERM back until the loader has reported, as Node itself ends by them. An end by a signal or with a code other than 0 after SIGTERM is FAULT in all kinds now, as are no end within 20 s of SIGTERM and, for this kind, no readiness within 20 s of the last disruption.

--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -1,3 +1,5 @@
+import type {ProcessEnd} from './daemons.js';
+
 /** A request as the customer sent it. */
 export interface SentRequest {
   readonly id: string;
@@ -172,8 +174,14 @@
   }
 
   /** Reports a daemon whose process ended by itself. */
-  reportOwnEnd(daemon: string, code: number | null): void {
-    this.#report('FAULT', `${daemon} ended by itself with code ${code}`);
+  reportOwnEnd(daemon: string, {code, signal}: ProcessEnd): void {
+    const cause = signal ?? `code ${code}`;
+    this.#report('FAULT', `${daemon} ended by itself with ${cause}`);
+  }
+
+  /** Reports a daemon that does not start or does not stop. */
+  reportStuck(daemon: string, failure: 'did not start' | 'did not stop'): void {
+    this.#report('FAULT', `${daemon} ${failure}`);
   }
 
   /** Reports a daemon that served an older version than before. */
--- a/soak/cost.ts
+++ b/soak/cost.ts
@@ -14,6 +14,7 @@
 import {appendHistory} from '../bench/support/history.js';
 import {createFakeStore, type FakeStore} from '../standins/kv_store.js';
 import {createDaemonSettings, PORTS} from './daemons.js';
+import {NODE_FLAGS} from './program.js';
 import {listen} from './proxy.js';
 import {startStoreServer} from './store_server.js';
 
@@ -33,10 +34,6 @@
 /** Size of an answer, bytes. */
 const ANSWER_BYTES = 2_000;
 
-const NODE_FLAGS =
-  '--max-old-space-size=160 --max-semi-space-size=2 ' +
-  '--semi-space-growth-factor=1 --single-threaded';
-
 const READY_TIMEOUT_MS = 20_000;
 
 /** Data centres of the upstreams without a daemon. */
--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -18,12 +18,11 @@
 /** Time after a disruption in which a daemon may fail to answer, ms. */
 export const RECOVERY_MS = 3_000;
 
-/** Entry file of the daemon. */
-const ENTRY_FILE = join(import.meta.dirname, '../platform/main.js');
-
-/** Module that handles SIGHUP before the program is loaded, as the deployed
- * program does. */
-const IGNORE_SIGHUP = 'data:text/javascript,process.on("SIGHUP",()=>{})';
+/** End of a process: its exit code or the signal that ended it. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
 
 /** A daemon in its own process. */
 export class Daemon {
@@ -32,18 +31,25 @@
   /** Monotonic time of the latest unplanned disruption, ms. */
   disruptedAt = -Infinity;
   #child?: ChildProcess;
-  #exit?: Promise<number | null>;
-  /** Called when the process ends without a fatal signal or SIGTERM. */
-  onOwnEnd: (code: number | null) => void = () => {};
+  #exit?: Promise<void>;
+  #loaderStart?: Promise<void>;
+  #isKilled = false;
+  /** Called when the process ends otherwise than the soak asked for: SIGTERM must
+   * lead to exit code 0. */
+  onOwnEnd: (end: ProcessEnd) => void = () => {};
   isStopping = false;
+  readonly #file: string;
   readonly #log: WriteStream;
 
   constructor(
     readonly name: string,
     readonly host: string,
-    private readonly dir: string,
+    dir: string,
     private readonly settings: object,
+    /** Arguments of Node, of which the loader reports its begin on a pipe. */
+    private readonly programArgs: readonly string[],
   ) {
+    this.#file = join(dir, `${name}.json`);
     this.#log = createWriteStream(join(dir, `${name}.log`));
   }
 
@@ -51,6 +57,10 @@
     return this.#child !== undefined;
   }
 
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** True while a disruption lasts or was a short time ago. */
   isDisrupted(now: number): boolean {
     return now - this.disruptedAt <= RECOVERY_MS;
@@ -60,35 +70,53 @@
   start(): void {
     if (this.#child) return;
     this.incarnation++;
-    const file = join(this.dir, `${this.name}.json`);
-    writeFileSync(file, JSON.stringify(this.settings));
-    const args = [...process.execArgv, '--import', IGNORE_SIGHUP, ENTRY_FILE];
-    const child = spawn(process.execPath, args, {
-      env: {...process.env, BERYLBEND_NODE_FILE: file},
-      stdio: ['ignore', 'pipe', 'pipe'],
+    writeFileSync(this.#file, JSON.stringify(this.settings));
+    const child = spawn(process.execPath, this.programArgs, {
+      env: {...process.env, BERYLBEND_NODE_FILE: this.#file},
+      stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
     });
-    child.stdout.pipe(this.#log, {end: false});
-    child.stderr.pipe(this.#log, {end: false});
+    child.stdout?.pipe(this.#log, {end: false});
+    child.stderr?.pipe(this.#log, {end: false});
     this.#child = child;
     this.isStopping = false;
+    this.#isKilled = false;
+    this.#loaderStart = new Promise(resolve => {
+      child.stdio[3]?.once('data', () => resolve());
+      child.once('exit', () => resolve());
+    });
     this.#exit = new Promise(resolve => {
-      child.once('exit', code => {
+      child.once('exit', (code, signal) => {
         this.#child = undefined;
-        resolve(code);
-        if (!this.isStopping) this.onOwnEnd(code);
+        resolve();
+        const isKilled = this.#isKilled && signal === 'SIGKILL';
+        const isStopped = this.isStopping && code === 0;
+        if (!isKilled && !isStopped) this.onOwnEnd({code, signal});
       });
     });
   }
 
-  /** Sends a signal to the process if it runs. */
+  /** Sends a signal to the process if it runs. Signals that the program handles
+   * wait until its loader has started. */
   signal(name: NodeJS.Signals): void {
+    const child = this.#child;
+    if (!child) return;
+    if (name === 'SIGKILL') this.#isKilled = true;
     if (name === 'SIGTERM' || name === 'SIGKILL') this.isStopping = true;
-    this.#child?.kill(name);
+    if (name === 'SIGTERM' || name === 'SIGHUP') {
+      void this.#loaderStart?.then(() => child.kill(name));
+    } else {
+      child.kill(name);
+    }
+  }
+
+  /** Resolves when the loader of the program has started, or the process ended. */
+  async waitForLoader(): Promise<void> {
+    await this.#loaderStart;
   }
 
-  /** Resolves to the exit code, or null after a fatal signal. */
-  async waitForExit(): Promise<number | null> {
-    return (await this.#exit) ?? null;
+  /** Resolves when the process has ended. */
+  async waitForExit(): Promise<void> {
+    await this.#exit;
   }
 }
 
--- a/soak/harness.ts
+++ b/soak/harness.ts
@@ -2,7 +2,7 @@
 import type {FakeStore} from '../standins/kv_store.js';
 import type {Bounds, Checker} from './checker.js';
 import {ROUTE_TIMEOUT_MS} from './customers.js';
-import type {Daemon} from './daemons.js';
+import {type Daemon, PORTS} from './daemons.js';
 import type {FaultProxy} from './proxy.js';
 import type {StoreServer} from './store_server.js';
 import {COLD_PER_S, type Upstream} from './upstream.js';
@@ -23,7 +23,17 @@
 
 /** Time from the end of a stopped daemon to its start, ms; the customers see the
  * end of its connections before. */
-const RESTART_DELAY_MS = 100;
+export const RESTART_DELAY_MS = 100;
+
+/** Maximum time until a daemon is ready after its start, ms. */
+const READY_LIMIT_MS = 20_000;
+
+/** Interval of the readiness checks, ms. */
+const READY_INTERVAL_MS = 50;
+
+/** Maximum time until a daemon ends after SIGTERM, ms: the grace time of 6 s, and
+ * more for a busy machine. */
+const STOP_LIMIT_MS = 20_000;
 
 /** State of a run, shared by its faults and checks. */
 export interface Harness {
@@ -124,23 +134,90 @@
   runRecovery(harness, async () => {
     await daemon.waitForExit();
     await delay(300);
-    daemon.start();
-    markDisrupted(harness, daemon);
+    restartDaemon(harness, daemon);
   });
 }
 
-/** Stops a daemon as planned, checks its exit code and starts it again. */
+/** Stops a daemon as planned and starts it again. */
 export function stopDaemon(harness: Harness, daemon: Daemon): void {
   daemon.signal('SIGTERM');
   runRecovery(harness, async () => {
-    const code = await daemon.waitForExit();
-    if (code !== 0 && code !== null) {
-      harness.checker.violations.push(
-        `${daemon.name} exited with code ${code}`,
-      );
-    }
+    await waitForStop(harness, daemon);
     await delay(RESTART_DELAY_MS);
-    daemon.start();
-    markDisrupted(harness, daemon);
+    restartDaemon(harness, daemon);
   });
 }
+
+/** Starts a daemon that ended, unless another fault's recovery already did. */
+export function restartDaemon(harness: Harness, daemon: Daemon): void {
+  daemon.start();
+  markDisrupted(harness, daemon);
+}
+
+/** Waits until a daemon that got SIGTERM has ended; one that does not end, as if
+ * the signal were lost, is reported and killed. */
+export async function waitForStop(
+  {checker}: Harness,
+  daemon: Daemon,
+): Promise<void> {
+  const {incarnation} = daemon;
+  const timeout = new AbortController();
+  const limit = delay(STOP_LIMIT_MS, undefined, {signal: timeout.signal}).then(
+    () => {
+      // Another fault may have restarted it.
+      if (daemon.incarnation !== incarnation) return;
+      checker.reportStuck(daemon.name, 'did not stop');
+      daemon.signal('SIGKILL');
+    },
+    () => {},
+  );
+  await daemon.waitForExit();
+  timeout.abort();
+  await limit;
+}
+
+/** Waits until a started daemon is ready, and reports one that does not become so
+ * while neither it nor the store is disrupted. */
+export async function expectReady(
+  harness: Harness,
+  daemon: Daemon,
+): Promise<void> {
+  const {checker, now} = harness;
+  const {incarnation} = daemon;
+  const startedAt = now();
+  // Other faults may stop or restart it, and then look after it.
+  while (
+    daemon.running &&
+    !daemon.isStopping &&
+    daemon.incarnation === incarnation
+  ) {
+    if (await isReady(daemon)) return;
+    const since = Math.max(
+      startedAt,
+      daemon.disruptedAt,
+      harness.disruptedUntil,
+    );
+    if (now() > since + READY_LIMIT_MS) {
+      return checker.reportStuck(daemon.name, 'did not start');
+    }
+    await delay(READY_INTERVAL_MS);
+  }
+}
+
+/** Waits until all daemons are ready after the start; rejects if one is not. */
+export async function waitUntilReady({daemons, now}: Harness): Promise<void> {
+  const endAt = now() + READY_LIMIT_MS;
+  for (const daemon of daemons) {
+    while (!(await isReady(daemon))) {
+      if (now() > endAt) throw new Error(`${daemon.name} is not ready`);
+      await delay(READY_INTERVAL_MS);
+    }
+  }
+}
+
+function isReady({host}: Daemon): Promise<boolean> {
+  return fetch(`http://${host}:${PORTS.ready}/api/ready`).then(
+    res => res.ok,
+    () => false,
+  );
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -48,11 +48,12 @@
   const logLines = requestId
     ? findLogLines(dir, daemonNames, `"${requestId}"`)
     : [];
+  const chosenKinds = values.kinds ? ` --kinds ${values.kinds}` : '';
   const rows = [...violations.slice(0, 10), 'faults:', ...faults, ...logLines];
   process.stdout.write(
     `${rows.join('\n')}\nlogs: ${dir}\nrerun: npm run soak -- --seed ${seed} ` +
       `--seconds ${seconds} --daemons ${daemons} --rate ${perSecond} ` +
-      `--connections ${connections}\n`,
+      `--connections ${connections}${chosenKinds}\n`,
   );
 }
 process.exitCode = failed === 0 ? 0 : 1;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -16,7 +16,9 @@
   pickFrom,
   publish,
   ROUTED_VERSIONS,
+  waitUntilReady,
 } from './harness.js';
+import {writeProgram} from './program.js';
 import {startFaultProxy} from './proxy.js';
 import {startStoreServer} from './store_server.js';
 import {Upstream} from './upstream.js';
@@ -38,9 +40,6 @@
 /** Interval of the probes of the version in force at a daemon, ms. */
 const PROBE_INTERVAL_MS = 150;
 
-/** Maximum time until all daemons are ready after the start, ms. */
-const READY_TIMEOUT_MS = 20_000;
-
 /** Items of one page of the store: a full read takes several. */
 const PAGE_SIZE = 4;
 
@@ -139,6 +138,7 @@
     isStable,
     isAtWork,
   );
+  const programArgs = await writeProgram(join(dir, 'program'));
   const store = createFakeStore(PAGE_SIZE);
   const subnet = `127.${64 + (process.pid % 128)}.${options.seed % 250}`;
   const storeHost = `${subnet}.250`;
@@ -179,30 +179,14 @@
     );
     const seeds = ZONES.map((_, z) => `${subnet}.${z + 1}:${PORTS.control}`);
     const settings = createDaemonSettings(`d${i}`, host, zone, service, seeds);
-    const daemon = new Daemon(`d${i}`, host, dir, settings);
-    daemon.onOwnEnd = code => checker.reportOwnEnd(daemon.name, code);
+    const daemon = new Daemon(`d${i}`, host, dir, settings, programArgs);
+    daemon.onOwnEnd = end => checker.reportOwnEnd(daemon.name, end);
     harness.daemons.push(daemon);
   }
   for (const daemon of harness.daemons) daemon.start();
   return harness;
 }
 
-async function waitUntilReady({daemons, now}: Harness): Promise<void> {
-  const endAt = now() + READY_TIMEOUT_MS;
-  for (const {host, name} of daemons) {
-    for (;;) {
-      const url = `http://${host}:${PORTS.ready}/api/ready`;
-      const isReady = await fetch(url).then(
-        res => res.ok,
-        () => false,
-      );
-      if (isReady) break;
-      if (now() > endAt) throw new Error(`${name} is not ready`);
-      await delay(50);
-    }
-  }
-}
-
 /** Probes a daemon for the newest version; returns a stop function. */
 function probeVersions(
   harness: Harness,
