Soak: settings files that are not whole (lateSettings)

The file is empty, cut in half, absent or `null` for 50 to 1,500 ms after the loader of a starting daemon has begun, or is rewritten so in place under a running one, with and without SIGHUP. An end is FAULT, and so is a daemon that is not ready within 20 s of the whole file.

--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -1,5 +1,10 @@
 import {type ChildProcess, spawn} from 'node:child_process';
-import {createWriteStream, type WriteStream, writeFileSync} from 'node:fs';
+import {
+  createWriteStream,
+  rmSync,
+  type WriteStream,
+  writeFileSync,
+} from 'node:fs';
 import {join} from 'node:path';
 
 /** Ports on the loopback address of each daemon. */
@@ -18,6 +23,17 @@
 /** Time after a disruption in which a daemon may fail to answer, ms. */
 export const RECOVERY_MS = 3_000;
 
+/** States of a settings file that is being written. */
+export type FileState = 'whole' | 'empty' | 'cut' | 'absent' | 'null';
+
+const FILE_TEXTS: Record<FileState, (whole: string) => string | undefined> = {
+  whole: text => text,
+  empty: () => '',
+  cut: text => text.slice(0, text.length / 2),
+  absent: () => undefined,
+  null: () => 'null',
+};
+
 /** End of a process: its exit code or the signal that ended it. */
 export interface ProcessEnd {
   readonly code: number | null;
@@ -34,6 +50,7 @@
   #exit?: Promise<void>;
   #loaderStart?: Promise<void>;
   #isKilled = false;
+  #fileState: FileState = 'whole';
   /** Called when the process ends otherwise than the soak asked for: SIGTERM must
    * lead to exit code 0. */
   onOwnEnd: (end: ProcessEnd) => void = () => {};
@@ -70,7 +87,7 @@
   start(): void {
     if (this.#child) return;
     this.incarnation++;
-    writeFileSync(this.#file, JSON.stringify(this.settings));
+    this.writeSettings(this.#fileState);
     const child = spawn(process.execPath, this.programArgs, {
       env: {...process.env, BERYLBEND_NODE_FILE: this.#file},
       stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
@@ -95,6 +112,14 @@
     });
   }
 
+  /** Writes the settings file in place, in this state also at the next starts. */
+  writeSettings(state: FileState): void {
+    this.#fileState = state;
+    const text = FILE_TEXTS[state](JSON.stringify(this.settings));
+    if (text === undefined) rmSync(this.#file, {force: true});
+    else writeFileSync(this.#file, text);
+  }
+
   /** Sends a signal to the process if it runs. Signals that the program handles
    * wait until its loader has started. */
   signal(name: NodeJS.Signals): void {
--- a/soak/start_faults.ts
+++ b/soak/start_faults.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Daemon} from './daemons.js';
+import type {Daemon, FileState} from './daemons.js';
 import {
   expectReady,
   type Fault,
@@ -29,6 +29,14 @@
   ['SIGTERM', 'SIGTERM'],
 ];
 
+/** Time for which a settings file is not whole, ms. */
+const LATE_FILE_MS = {shortest: 50, spread: 1_450};
+
+const FILE_FAULTS: FileState[] = ['empty', 'cut', 'absent', 'null'];
+
+/** Share of the settings files that are rewritten under a running daemon. */
+const REWRITE_SHARE = 0.4;
+
 /** Stops or kills a daemon and waits for its end. */
 async function endDaemon(
   harness: Harness,
@@ -40,6 +48,13 @@
   await waitForStop(harness, daemon);
 }
 
+function pickDuration(
+  {random}: Harness,
+  {shortest, spread}: {shortest: number; spread: number},
+): number {
+  return Math.round(shortest + spread * random());
+}
+
 /** Faults around the start of a daemon (issue 52), by kind. */
 export const START_FAULTS: Record<string, Fault> = {
   earlySignal(harness) {
@@ -73,4 +88,34 @@
     const moments = signals.map((signal, i) => `${signal} at ${offsets[i]} ms`);
     return `${daemon.name} ${moments.join(', ')}`;
   },
+  lateSettings(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    const state = pickFrom(harness, FILE_FAULTS);
+    const ms = pickDuration(harness, LATE_FILE_MS);
+    const isRunning = harness.random() < REWRITE_SHARE;
+    const isKilled = harness.random() < KILL_SHARE;
+    const isSignalled = harness.random() < 0.5;
+    runRecovery(harness, async () => {
+      if (!isRunning) {
+        await endDaemon(harness, daemon, isKilled);
+        await delay(RESTART_DELAY_MS);
+      }
+      daemon.writeSettings(state);
+      if (!isRunning) {
+        daemon.start();
+        // Counted from here: Node alone takes longer to start on a busy machine.
+        await daemon.waitForLoader();
+        daemon.disruptedAt = harness.now() + ms;
+      }
+      if (isSignalled) daemon.signal('SIGHUP');
+      await delay(ms);
+      daemon.writeSettings('whole');
+      if (isSignalled) daemon.signal('SIGHUP');
+      await expectReady(harness, daemon);
+    });
+    const phase = isRunning ? 'while it runs' : 'at its start';
+    const signal = isSignalled ? ', SIGHUP' : '';
+    return `${daemon.name} ${state} for ${ms} ms ${phase}${signal}`;
+  },
 };
