Soak: a stranger on a port of a daemon (heldPort)

After a stop or a kill the soak holds the customer, peer, readiness, control or metrics port for 5.5 to 8 s from the moment at which the loader begins. An end is FAULT, and so is a daemon that is not ready within 20 s of the release; with the metrics port it must be ready while the port is held.

--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -18,6 +18,8 @@
   appProxy: 18_106,
   /** Fault proxy to the store. */
   storeProxy: 18_107,
+  /** Fixed by the deploy file. */
+  metrics: 9_464,
 };
 
 /** Time after a disruption in which a daemon may fail to answer, ms. */
--- a/soak/start_faults.ts
+++ b/soak/start_faults.ts
@@ -1,5 +1,6 @@
+import {createServer} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Daemon, FileState} from './daemons.js';
+import {type Daemon, type FileState, PORTS} from './daemons.js';
 import {
   expectReady,
   type Fault,
@@ -12,6 +13,7 @@
   runRecovery,
   waitForStop,
 } from './harness.js';
+import {listen} from './proxy.js';
 
 /** Share of the restarts of these kinds that begin with SIGKILL. */
 const KILL_SHARE = 0.5;
@@ -37,6 +39,11 @@
 /** Share of the settings files that are rewritten under a running daemon. */
 const REWRITE_SHARE = 0.4;
 
+/** Time for which a stranger holds a port of a daemon, ms. */
+const HOLD_MS = {shortest: 5_500, spread: 2_500};
+
+const HELD_PORTS = ['customer', 'peer', 'ready', 'control', 'metrics'] as const;
+
 /** Stops or kills a daemon and waits for its end. */
 async function endDaemon(
   harness: Harness,
@@ -118,4 +125,33 @@
     const signal = isSignalled ? ', SIGHUP' : '';
     return `${daemon.name} ${state} for ${ms} ms ${phase}${signal}`;
   },
+  heldPort(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    const name = pickFrom(harness, HELD_PORTS);
+    const ms = pickDuration(harness, HOLD_MS);
+    const isKilled = harness.random() < KILL_SHARE;
+    runRecovery(harness, async () => {
+      await endDaemon(harness, daemon, isKilled);
+      const stranger = createServer(socket => socket.destroy());
+      const isHeld = await listen(stranger, daemon.host, PORTS[name]).then(
+        () => true,
+        () => false,
+      );
+      restartDaemon(harness, daemon);
+      // Another fault's recovery was faster.
+      if (!isHeld) return;
+      await daemon.waitForLoader();
+      // Customers and other daemons reach the stranger; the metrics page is
+      // nothing that they need.
+      if (name !== 'metrics') daemon.disruptedAt = harness.now() + ms;
+      const isReadyInTime =
+        name === 'metrics' ? expectReady(harness, daemon) : undefined;
+      await delay(ms);
+      await isReadyInTime;
+      await new Promise(resolve => stranger.close(resolve));
+      await expectReady(harness, daemon);
+    });
+    return `${daemon.name} ${name} for ${ms} ms`;
+  },
 };
