Soak: customers that read nothing (slowReaders)

80 customers request 4 MB each of one daemon, read nothing and go after about 8 s. The size of an answer is in the query; the routes of these requests have a timeout of 8 s, as a busy machine passes on few such answers in a second. One request on each connection: the next one waits until the answer is written. Resident memory of all daemons is read four times a second in all runs; above `memory_mb` is FAULT. The settings state 250 MB, the least of the users' sites.

--- a/__tests__/soak_checker.test.ts
+++ b/__tests__/soak_checker.test.ts
@@ -130,15 +130,18 @@
   t.is(getRules().length, 5);
 });
 
-// A daemon that does not start counts like one that ends by itself (issue 52).
-test('ends by itself, stuck starts and stops are reported as faults', t => {
+// A process that the platform ends for its memory counts like one that ends by
+// itself (issue 52).
+test('ends, stuck starts and stops, and memory are reported as faults', t => {
   const {checker} = createChecker();
   checker.reportOwnEnd('d1', {code: 1, signal: null});
   checker.reportOwnEnd('d2', {code: null, signal: 'SIGHUP'});
   checker.reportStuck('d3', 'did not start');
+  checker.reportMemory('d4', 300.4, 250);
   t.deepEqual(checker.violations, [
     '0.00 s FAULT: d1 ended by itself with code 1',
     '0.00 s FAULT: d2 ended by itself with SIGHUP',
     '0.00 s FAULT: d3 did not start',
+    '0.00 s FAULT: d4 took 300 of 250 MB',
   ]);
 });
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -184,6 +184,11 @@
     this.#report('FAULT', `${daemon} ${failure}`);
   }
 
+  /** Reports a daemon that the platform would end for its memory, MB. */
+  reportMemory(daemon: string, mb: number, limitMb: number): void {
+    this.#report('FAULT', `${daemon} took ${Math.round(mb)} of ${limitMb} MB`);
+  }
+
   /** Reports a daemon that served an older version than before. */
   reportRollback(daemon: string, version: number, before: number): void {
     this.#report('CONFIG', `${daemon} went from ${before} to ${version}`);
--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -147,6 +147,10 @@
   }
 }
 
+/** Limit of the memory of a daemon, MB, as in the settings; the smallest of the
+ * users' sites. */
+export const MEMORY_MB = 250;
+
 /** Creates the settings file of a daemon as the platform writes it. */
 export function createDaemonSettings(
   name: string,
@@ -163,7 +167,7 @@
       zone,
       service,
       app_addr: formatAddress(PORTS.appProxy),
-      limits: {memory_mb: 350},
+      limits: {memory_mb: MEMORY_MB},
     },
     network: {
       listen: {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -12,6 +12,7 @@
   stopDaemon,
 } from './harness.js';
 import type {FaultProxy, ProxyMode} from './proxy.js';
+import {slowReaders} from './slow_readers.js';
 import {START_FAULTS} from './start_faults.js';
 import type {StoreMode} from './store_server.js';
 import type {Spoiling, Upstream} from './upstream.js';
@@ -101,6 +102,7 @@
 /** Faults by kind. */
 export const FAULTS: Record<string, Fault> = {
   ...START_FAULTS,
+  slowReaders,
   term(harness) {
     const {daemons, random} = harness;
     const count =
--- a/soak/harness.ts
+++ b/soak/harness.ts
@@ -21,6 +21,10 @@
 /** Number of newest versions that each have a route of their own. */
 export const ROUTED_VERSIONS = 3;
 
+/** Times of the routes with large answers, ms; a busy machine passes on few of them
+ * in a second. */
+export const LARGE_ROUTE = {timeoutMs: 8_000, goalMs: 4_000};
+
 /** Time from the end of a stopped daemon to its start, ms; the customers see the
  * end of its connections before. */
 export const RESTART_DELAY_MS = 100;
@@ -71,6 +75,11 @@
     priority: kind === 'idempotent' ? 2 : 1,
   });
   const routes = ['a', 'b'].flatMap(service => [
+    {
+      ...createRoute(`large-${service}`, 'idempotent', service),
+      timeout: `${LARGE_ROUTE.timeoutMs}ms`,
+      goal: `${LARGE_ROUTE.goalMs}ms`,
+    },
     createRoute(`read-${service}`, 'idempotent', service),
     createRoute(`book-${service}`, 'non_idempotent', service),
   ]);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -34,9 +34,10 @@
     checksTiming: true,
     kinds: values.kinds?.split(','),
   });
-  const {violations, statuses, faults, dir} = result;
+  const {violations, statuses, faults, largestMb, dir} = result;
   const counts = [...statuses].map(([status, count]) => `${status}: ${count}`);
   const outcome = violations.length === 0 ? 'kept' : 'BROKEN';
+  counts.push(`${Math.round(largestMb)} MB`);
   process.stdout.write(`seed ${seed} ${outcome}, ${counts.join(', ')}\n`);
   if (violations.length === 0) {
     rmSync(dir, {recursive: true});
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -20,6 +20,7 @@
 } from './harness.js';
 import {writeProgram} from './program.js';
 import {startFaultProxy} from './proxy.js';
+import {checkMemory} from './slow_readers.js';
 import {startStoreServer} from './store_server.js';
 import {Upstream} from './upstream.js';
 
@@ -63,6 +64,8 @@
   readonly violations: readonly string[];
   readonly statuses: ReadonlyMap<number, number>;
   readonly faults: readonly string[];
+  /** Largest resident memory of a daemon, MB. */
+  readonly largestMb: number;
   /** Directory with the logs of the daemons. */
   readonly dir: string;
 }
@@ -78,6 +81,8 @@
   process.once('exit', killDaemons);
   const {daemons, checker, upstreams, random, trafficRandom, now} = harness;
   const stopCopies = checkCopies(daemons, harness.store, checker, now);
+  const stopMemory = checkMemory(daemons, checker);
+  let largestMb = 0;
   try {
     await waitUntilReady(harness);
     const services = new Map(
@@ -111,11 +116,12 @@
     for (const stop of stopProbes) stop();
   } finally {
     stopCopies();
+    largestMb = stopMemory();
     await stopHarness(harness);
     process.removeListener('exit', killDaemons);
   }
   const {violations, statuses} = checker;
-  return {violations, statuses, faults: harness.faults, dir};
+  return {violations, statuses, faults: harness.faults, largestMb, dir};
 }
 
 async function startHarness(
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -33,6 +33,9 @@
 /** Share of the answers that are spoiled while `spoils` is set. */
 const SPOILED_SHARE = 0.2;
 
+/** Query parameter with the size that the answer to a request shall have, bytes. */
+export const SIZE_PARAMETER = 'bytes';
+
 /** Ways in which an upstream spoils answers: half of one without a length, ended
  * by a reset; a refusal without an id ahead of one. */
 export type Spoiling = 'reset' | 'stray';
@@ -164,7 +167,7 @@
     if (this.losesAnswers && this.random() < ANSWER_LOSS_SHARE) {
       return void req.socket.resetAndDestroy();
     }
-    const text = `body of ${id}`;
+    const text = `body of ${id}`.padEnd(readSize(req.url ?? ''), '.');
     res.setHeader('x-server-stamp', `signed ${id}`);
     if (isLate) return void res.writeHead(504).end();
     if (spoiling === 'reset') {
@@ -215,3 +218,8 @@
     }
   }
 }
+
+function readSize(url: string): number {
+  const {searchParams} = new URL(url, 'http://upstream');
+  return Number(searchParams.get(SIZE_PARAMETER) ?? 0);
+}
