--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -146,7 +146,9 @@
   );
   const programArgs = await writeProgram(join(dir, 'program'));
   const store = createFakeStore(PAGE_SIZE);
-  const subnet = `127.${64 + (process.pid % 128)}.${options.seed % 250}`;
+  // Runs of other processes on the machine may have the same seed.
+  const {pid} = process;
+  const subnet = `127.${64 + (pid % 128)}.${Math.floor(pid / 128) % 250}`;
   const storeHost = `${subnet}.250`;
   const storeServer = await startStoreServer(
     store,
