Soak: a copy may lack what was deleted after its revision

Trace: it was killed and read the store in pages from 12:31:21.33 on, while the entries were being removed (revisions 41 to 61). The first page, of revision 40, held two of them; the later pages came after the removals.

The check allowed a later value of a key and not a later deletion, which leaves no item with a revision. It allows a missing key now if the store has deleted it after the revision of the copy; all other missing keys, deleted keys that are held and wrong values are reported as before.

--- a/soak/copies.ts
+++ b/soak/copies.ts
@@ -18,7 +18,7 @@
 
 /** Writes of the store with their times, ms; `isNews` unless the write said the
  * same as the one before, which daemons may keep from each other. */
-type History = Array<
+export type History = Array<
   StoreEvent & {readonly writtenAt: number; readonly isNews: boolean}
 >;
 
@@ -85,8 +85,8 @@
 }
 
 /** Keys whose value is neither that of the store at the revision of the copy nor
- * a later one. */
-function findWrongKeys(
+ * a later one: a copy of several pages may hold later changes and deletions. */
+export function findWrongKeys(
   {revision, keys, items}: MirrorState,
   history: History,
 ): string[] {
@@ -99,12 +99,22 @@
     const item = found.get(key);
     if (item && item.revision > revision) return [];
     if (value === undefined) return keys.includes(key) ? [key] : [];
+    if (!keys.includes(key) && isDeletedAfter(history, key, revision)) {
+      return [];
+    }
     const [part] = item?.parts ?? [];
     if (!(part instanceof Uint8Array)) return [key];
     return isSameValue(key, Buffer.from(part), value) ? [] : [key];
   });
 }
 
+function isDeletedAfter(history: History, key: string, after: number): boolean {
+  return history.some(
+    event =>
+      event.key === key && event.revision > after && event.value === undefined,
+  );
+}
+
 function isSameValue(
   key: string,
   before: Buffer | undefined,
