--- a/__tests__/soak.test.ts
+++ b/__tests__/soak.test.ts
@@ -24,6 +24,10 @@
 /** Kinds around which requests in flight were lost. */
 const FLIGHT_KINDS = ['term', 'config', 'drain'];
 
+/** Kinds around which daemons did not start, ended by themselves, or took more
+ * memory than their limit. */
+const FAULT_KINDS = ['earlySignal', 'lateSettings', 'heldPort', 'slowReaders'];
+
 const RUNS = [
   ...SEEDS.map(seed => ({
     ...{name: 'random faults', seed, kinds: KINDS},
@@ -43,6 +47,11 @@
     ...{name: 'several requests in flight', seed: 3, kinds: FLIGHT_KINDS},
     ...{seconds: 8, connections: 2},
   },
+  {
+    // Issue 52.
+    ...{name: 'troubled starts and slow readers', seed: 1, kinds: FAULT_KINDS},
+    ...{seconds: 5, connections: 1},
+  },
 ];
 
 for (const {name, seed, kinds, seconds, connections} of RUNS) {
