--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -1,5 +1,10 @@
 import {type ChildProcess, spawn} from 'node:child_process';
-import {createWriteStream, type WriteStream, writeFileSync} from 'node:fs';
+import {
+  createWriteStream,
+  rmSync,
+  type WriteStream,
+  writeFileSync,
+} from 'node:fs';
 import {join} from 'node:path';
 
 /** Ports on the loopback address of each daemon. */
@@ -13,17 +18,29 @@
   appProxy: 18_106,
   /** Fault proxy to the store. */
   storeProxy: 18_107,
+  /** Fixed by the deploy file. */
+  metrics: 9_464,
 };
 
 /** Time after a disruption in which a daemon may fail to answer, ms. */
 export const RECOVERY_MS = 3_000;
 
-/** Entry file of the daemon. */
-const ENTRY_FILE = join(import.meta.dirname, '../platform/main.js');
+/** States of a settings file that is being written. */
+export type FileState = 'whole' | 'empty' | 'cut' | 'absent' | 'null';
 
-/** Module that handles SIGHUP before the program is loaded, as the deployed
- * program does. */
-const IGNORE_SIGHUP = 'data:text/javascript,process.on("SIGHUP",()=>{})';
+const FILE_TEXTS: Record<FileState, (whole: string) => string | undefined> = {
+  whole: text => text,
+  empty: () => '',
+  cut: text => text.slice(0, text.length / 2),
+  absent: () => undefined,
+  null: () => 'null',
+};
+
+/** End of a process: its exit code or the signal that ended it. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
 
 /** A daemon in its own process. */
 export class Daemon {
@@ -32,18 +49,26 @@
   /** Monotonic time of the latest unplanned disruption, ms. */
   disruptedAt = -Infinity;
   #child?: ChildProcess;
-  #exit?: Promise<number | null>;
-  /** Called when the process ends without a fatal signal or SIGTERM. */
-  onOwnEnd: (code: number | null) => void = () => {};
+  #exit?: Promise<void>;
+  #loaderStart?: Promise<void>;
+  #isKilled = false;
+  #fileState: FileState = 'whole';
+  /** Called when the process ends otherwise than the soak asked for: SIGTERM must
+   * lead to exit code 0. */
+  onOwnEnd: (end: ProcessEnd) => void = () => {};
   isStopping = false;
+  readonly #file: string;
   readonly #log: WriteStream;
 
   constructor(
     readonly name: string,
     readonly host: string,
-    private readonly dir: string,
+    dir: string,
     private readonly settings: object,
+    /** Arguments of Node, of which the loader reports its begin on a pipe. */
+    private readonly programArgs: readonly string[],
   ) {
+    this.#file = join(dir, `${name}.json`);
     this.#log = createWriteStream(join(dir, `${name}.log`));
   }
 
@@ -51,6 +76,10 @@
     return this.#child !== undefined;
   }
 
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** True while a disruption lasts or was a short time ago. */
   isDisrupted(now: number): boolean {
     return now - this.disruptedAt <= RECOVERY_MS;
@@ -60,38 +89,68 @@
   start(): void {
     if (this.#child) return;
     this.incarnation++;
-    const file = join(this.dir, `${this.name}.json`);
-    writeFileSync(file, JSON.stringify(this.settings));
-    const args = [...process.execArgv, '--import', IGNORE_SIGHUP, ENTRY_FILE];
-    const child = spawn(process.execPath, args, {
-      env: {...process.env, BERYLBEND_NODE_FILE: file},
-      stdio: ['ignore', 'pipe', 'pipe'],
+    this.writeSettings(this.#fileState);
+    const child = spawn(process.execPath, this.programArgs, {
+      env: {...process.env, BERYLBEND_NODE_FILE: this.#file},
+      stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
     });
-    child.stdout.pipe(this.#log, {end: false});
-    child.stderr.pipe(this.#log, {end: false});
+    child.stdout?.pipe(this.#log, {end: false});
+    child.stderr?.pipe(this.#log, {end: false});
     this.#child = child;
     this.isStopping = false;
+    this.#isKilled = false;
+    this.#loaderStart = new Promise(resolve => {
+      child.stdio[3]?.once('data', () => resolve());
+      child.once('exit', () => resolve());
+    });
     this.#exit = new Promise(resolve => {
-      child.once('exit', code => {
+      child.once('exit', (code, signal) => {
         this.#child = undefined;
-        resolve(code);
-        if (!this.isStopping) this.onOwnEnd(code);
+        resolve();
+        const isKilled = this.#isKilled && signal === 'SIGKILL';
+        const isStopped = this.isStopping && code === 0;
+        if (!isKilled && !isStopped) this.onOwnEnd({code, signal});
       });
     });
   }
 
-  /** Sends a signal to the process if it runs. */
+  /** Writes the settings file in place, in this state also at the next starts. */
+  writeSettings(state: FileState): void {
+    this.#fileState = state;
+    const text = FILE_TEXTS[state](JSON.stringify(this.settings));
+    if (text === undefined) rmSync(this.#file, {force: true});
+    else writeFileSync(this.#file, text);
+  }
+
+  /** Sends a signal to the process if it runs. Signals that the program handles
+   * wait until its loader has started. */
   signal(name: NodeJS.Signals): void {
+    const child = this.#child;
+    if (!child) return;
+    if (name === 'SIGKILL') this.#isKilled = true;
     if (name === 'SIGTERM' || name === 'SIGKILL') this.isStopping = true;
-    this.#child?.kill(name);
+    if (name === 'SIGTERM' || name === 'SIGHUP') {
+      void this.#loaderStart?.then(() => child.kill(name));
+    } else {
+      child.kill(name);
+    }
   }
 
-  /** Resolves to the exit code, or null after a fatal signal. */
-  async waitForExit(): Promise<number | null> {
-    return (await this.#exit) ?? null;
+  /** Resolves when the loader of the program has started, or the process ended. */
+  async waitForLoader(): Promise<void> {
+    await this.#loaderStart;
+  }
+
+  /** Resolves when the process has ended. */
+  async waitForExit(): Promise<void> {
+    await this.#exit;
   }
 }
 
+/** Limit of the memory of a daemon, MB, as in the settings; the smallest of the
+ * users' sites. */
+export const MEMORY_MB = 250;
+
 /** Creates the settings file of a daemon as the platform writes it. */
 export function createDaemonSettings(
   name: string,
@@ -108,7 +167,7 @@
       zone,
       service,
       app_addr: formatAddress(PORTS.appProxy),
-      limits: {memory_mb: 350},
+      limits: {memory_mb: MEMORY_MB},
     },
     network: {
       listen: {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -34,9 +34,10 @@
     checksTiming: true,
     kinds: values.kinds?.split(','),
   });
-  const {violations, statuses, faults, dir} = result;
+  const {violations, statuses, faults, largestMb, dir} = result;
   const counts = [...statuses].map(([status, count]) => `${status}: ${count}`);
   const outcome = violations.length === 0 ? 'kept' : 'BROKEN';
+  counts.push(`${Math.round(largestMb)} MB`);
   process.stdout.write(`seed ${seed} ${outcome}, ${counts.join(', ')}\n`);
   if (violations.length === 0) {
     rmSync(dir, {recursive: true});
@@ -44,15 +45,18 @@
   }
   failed++;
   const daemonNames = Array.from({length: daemons}, (_, i) => `d${i}`);
-  const requestId = /\b[rkp]\d+\b|\bp-d\d+-\d+\b/.exec(violations[0])?.[0];
+  const requestId = /\b[rkp]\d+\b|\b(?:p-d|s)\d+-\d+\b/.exec(
+    violations[0],
+  )?.[0];
   const logLines = requestId
     ? findLogLines(dir, daemonNames, `"${requestId}"`)
     : [];
+  const chosenKinds = values.kinds ? ` --kinds ${values.kinds}` : '';
   const rows = [...violations.slice(0, 10), 'faults:', ...faults, ...logLines];
   process.stdout.write(
     `${rows.join('\n')}\nlogs: ${dir}\nrerun: npm run soak -- --seed ${seed} ` +
       `--seconds ${seconds} --daemons ${daemons} --rate ${perSecond} ` +
-      `--connections ${connections}\n`,
+      `--connections ${connections}${chosenKinds}\n`,
   );
 }
 process.exitCode = failed === 0 ? 0 : 1;
