End a request whose body stops at its deadline

Cause: the deadline of a request began after its body. It begins with the head now, so such a request is refused at its deadline, as not run, and its bytes are released.

Evidence: bodies.test.ts, "a body that does not end is held until its deadline", gets no answer on the code before (time limit of the test) and passes now.

--- a/__tests__/bodies.test.ts
+++ b/__tests__/bodies.test.ts
@@ -203,3 +203,30 @@
   t.true(board.answers.waitingBytes > 0);
   t.is(board.bodies.usedBytes, 0);
 });
+
+// Customers that stop inside a body held the memory for bodies for as long as they
+// liked, and all other bodies were refused.
+test.serial('a body that does not end is held until its deadline', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const {host, customerPort} = board.settings;
+  const socket = connect(customerPort, host);
+  t.teardown(() => socket.destroy());
+  let answer = '';
+  socket.on('data', (chunk: Buffer) => (answer += chunk.toString()));
+  await once(socket, 'connect');
+  const head = [
+    'POST /slow/1 HTTP/1.1',
+    'host: shop.example',
+    'x-request-id: b0',
+    'x-deadline-ms: 500',
+    'content-length: 1000',
+  ];
+  socket.write(`${head.join('\r\n')}\r\n\r\npart`);
+  await until(() => board.bodies.usedBytes === 'part'.length);
+  await until(() => answer !== '');
+  t.regex(answer, /^HTTP\/1.1 503 /);
+  t.regex(answer, /\r\nconnection: close\r\n/i);
+  t.is(board.bodies.usedBytes, 0);
+  t.deepEqual(harness.upstreams[0].runs, []);
+});
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -82,6 +82,7 @@
   if (isOverdue(board)) return finishRefused(state, exchange, 'staleView');
   const refusal = checkHead(state, exchange, table);
   if (refusal) return finishRefused(state, exchange, refusal);
+  startDeadline(state, exchange);
   const {limits} = table.config;
   const body = await receiveBody(state, exchange, limits.bodyBytes);
   if (exchange.ended) return;
@@ -116,16 +117,6 @@
   }
   const isolated = classification.action === 'alone';
   if (isolated) startIsolatedRun(board.suspects, exchange.fingerprint);
-  exchange.cancelTimeout = setReplyTimeout(
-    () => {
-      try {
-        expire(state, exchange);
-      } catch (err) {
-        finishFaulty(state, exchange, err as Error);
-      }
-    },
-    Math.ceil(exchange.expiresAt - now) + TIMER_RESOLUTION_MS,
-  );
   try {
     while (!exchange.ended) {
       if (!hasAnswerRoom(board.answers, exchange.route?.name ?? '')) {
@@ -151,6 +142,22 @@
   }
 }
 
+/** Ends the request at its deadline, also while its body is read: a body that does
+ * not end would hold memory for as long as its customer likes. */
+function startDeadline(state: EntryState, exchange: Exchange): void {
+  const waitMs = exchange.expiresAt - state.board.now();
+  exchange.cancelTimeout = setReplyTimeout(
+    () => {
+      try {
+        expire(state, exchange);
+      } catch (err) {
+        finishFaulty(state, exchange, err as Error);
+      }
+    },
+    Math.ceil(waitMs) + TIMER_RESOLUTION_MS,
+  );
+}
+
 /** Ends a request whose upstream has not answered by the deadline. */
 function expire(state: EntryState, exchange: Exchange): void {
   if (exchange.ended) return;
