Give back slot and memory after an error in a request

After as many errors as slots the owner would have served nothing.

Evidence: request_errors.test.ts, "an error after an answer keeps no slot and no memory", fails on the code before and passes now.

--- a/__tests__/request_errors.test.ts
+++ b/__tests__/request_errors.test.ts
@@ -55,6 +55,29 @@
   t.is((await harness.send(0, {path, method: 'POST'})).status, 502);
 });
 
+// Such an error kept the slot of the upstream and the memory of the answer.
+test.serial('an error after an answer keeps no slot and no memory', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const {suspects} = board;
+  let failures = 0;
+  Object.defineProperty(board, 'suspects', {
+    get() {
+      const {stack = ''} = new Error();
+      if (!stack.includes('concludeCall')) return suspects;
+      failures++;
+      throw new Error('failed to read the suspects');
+    },
+  });
+  const path = '/book/1';
+  for (let i = 1; i <= 2 * board.limiter.slots; i++) {
+    t.is((await harness.send(0, {path, method: 'POST'})).status, 502);
+    t.is(failures, i);
+  }
+  t.is(board.limiter.inFlight, 0);
+  t.is(board.answers.usedBytes, 0);
+});
+
 // The request was marked as ended before the error: it got no answer at all.
 test.serial('an error while an answer is written is answered', async t => {
   const harness = await startHarness(t, ['dc1']);
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -135,7 +135,12 @@
         if (reply.kind === 'answer') reply.answer.release();
         return;
       }
-      if (handleReply(state, exchange, upstream, reply, isolated)) return;
+      try {
+        if (handleReply(state, exchange, upstream, reply, isolated)) return;
+      } catch (err) {
+        if (reply.kind === 'answer') reply.answer.release();
+        throw err;
+      }
     }
   } finally {
     if (isolated) endIsolatedRun(board.suspects, exchange.fingerprint);
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -200,22 +200,37 @@
       recordLatency(board.metrics, 'owner_queue', startedAt - arrivedAt);
       call = startCall(state, request, deadlineAt);
       state.running.add(request);
-      call.result
-        .then(httpResult => {
-          state.running.delete(request);
-          concludeCall(state, request, httpResult, startedAt, refuse, end);
-          processQueue(state);
-        })
-        .catch((err: Error) => {
+      void call.result.then(httpResult => {
+        state.running.delete(request);
+        let isReleased = false;
+        const finish = (limiterResult: LimiterResult): void => {
+          if (isReleased) return;
+          isReleased = true;
+          const at = board.now();
+          const heldMs = at - startedAt;
+          release(board.limiter, request.route, heldMs, limiterResult, at);
+        };
+        try {
+          concludeCall(state, request, httpResult, {
+            startedAt,
+            finish,
+            refuse,
+            end,
+          });
+        } catch (err) {
           count(board, 'owner_errors');
           board.log.write('notable', 'ownerError', {
             request: request.requestId,
-            error: err.message,
+            error: (err as Error).message,
           });
+          finish('failed');
+          if (httpResult.kind === 'answer') httpResult.answer.release();
           // The request may have run.
           const outcome = 'connectionBroken';
           end({kind: 'broken', outcome, code: 'OWNER_ERROR'});
-        });
+        }
+        processQueue(state);
+      });
     },
     refuse,
   };
@@ -289,19 +304,24 @@
   reachedUpstream?: boolean,
 ) => void;
 
+/** What ends a call at the upstream. */
+interface CallEnd {
+  /** Monotonic time at which the call began, ms. */
+  readonly startedAt: number;
+  /** Gives the slot of the upstream back, once. */
+  readonly finish: (result: LimiterResult) => void;
+  readonly refuse: Refuse;
+  readonly end: (reply: ForwardReply) => void;
+}
+
 function concludeCall(
   state: OwnerState,
   request: ForwardRequest,
   result: HttpResult,
-  startedAt: number,
-  refuse: Refuse,
-  end: (reply: ForwardReply) => void,
+  {startedAt, finish, refuse, end}: CallEnd,
 ): void {
   const {board} = state;
   const now = board.now();
-  const heldMs = now - startedAt;
-  const finish = (limiterResult: LimiterResult) =>
-    release(board.limiter, request.route, heldMs, limiterResult, now);
   if (result.kind === 'aborted') {
     finish('cancelled');
     end({kind: 'aborted', written: result.written});
@@ -344,7 +364,7 @@
   if (answer.status < 300) {
     recordAnswerBytes(board.answers, request.route, answer.body.length);
   }
-  recordLatency(board.metrics, 'upstream', heldMs);
+  recordLatency(board.metrics, 'upstream', now - startedAt);
   recordFinished(board.suspects, request.fingerprint, now);
   end({kind: 'answer', answer});
 }
