--- a/__tests__/start_ports.test.ts
+++ b/__tests__/start_ports.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {writeFileSync} from 'node:fs';
+import {rmSync, writeFileSync} from 'node:fs';
 import {type Server, connect, createServer} from 'node:net';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -46,7 +46,7 @@
   const host = formatHost(1);
   await hold(t, PORTS.customer, host);
   const {child, ended, waitForLine} = startOn(t, host);
-  await waitForLine('starting');
+  await waitForLine('portUnavailable');
   child.kill('SIGTERM');
   const {starting} = await waitForLine('stopped');
   t.true(starting);
@@ -115,6 +115,10 @@
   writeSettings(file, host);
   const daemon = startProcess(t, [MAIN_FILE], file);
   await daemon.waitForLine('portUnavailable');
+  // Invalid ones are reported, and the wait goes on.
+  rmSync(file);
+  daemon.child.kill('SIGHUP');
+  await daemon.waitForLine('settingsInvalid');
   const other = formatHost(6);
   writeSettings(file, other);
   daemon.child.kill('SIGHUP');
--- a/__tests__/start_settings.test.ts
+++ b/__tests__/start_settings.test.ts
@@ -1,6 +1,7 @@
 import {renameSync, rmSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import test, {type ExecutionContext} from 'ava';
+import {followSettings} from '../platform/settings.js';
 import {createDaemonSettings} from '../soak/daemons.js';
 import {
   createDirectory,
@@ -102,6 +103,28 @@
   t.false(daemon.lines.some(({decision}) => decision === 'reloaded'));
 });
 
+// A file that stayed away was reported at each look, every two seconds.
+test('a running daemon reports a fault of its file once', t => {
+  const file = join(createDirectory(t), 'node.json');
+  const faults: string[] = [];
+  const {check, stop} = followSettings(file, VALID, change => {
+    faults.push(change.ok ? 'none' : change.error.message);
+  });
+  t.teardown(stop);
+  for (let i = 0; i < 3; i++) check();
+  writeFileSync(file, '{');
+  for (let i = 0; i < 3; i++) check();
+  writeFileSync(file, VALID);
+  check();
+  rmSync(file);
+  check();
+  t.is(faults.length, 4);
+  t.regex(faults[0], /ENOENT/);
+  t.regex(faults[1], /JSON/);
+  t.is(faults[2], 'none');
+  t.regex(faults[3], /ENOENT/);
+});
+
 // A variable can't change in a running process, so waiting would hide the fault.
 test('a start without the variable of the settings file ends', async t => {
   const {ended} = startProcess(t, [MAIN_FILE], '');
