Merge small pieces of bodies and answers as they arrive

A customer whose request body, or an upstream whose answer, came in chunks of one byte ended the daemon with SIGABRT at the limit of the heap (160 MB); all other customers lost their requests.

Each received piece was a buffer of its own, which takes some 100 to 200 bytes of the heap, while the memory for bodies and answers counts payload alone: 1.5 MB of payload filled the heap.

--- a/__tests__/bodies.test.ts
+++ b/__tests__/bodies.test.ts
@@ -1,5 +1,7 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import test from 'ava';
 import {answerOk, startHarness, until} from './support/sidecar_harness.js';
 
@@ -203,3 +205,55 @@
   t.true(board.answers.waitingBytes > 0);
   t.is(board.bodies.usedBytes, 0);
 });
+
+/** Bytes of a body that comes in chunks of one byte. */
+const SMALL_CHUNKS = 300_000;
+
+// Each chunk took 100 to 200 bytes of the heap, and only its payload was counted.
+test.serial(
+  'a body in chunks of one byte takes little of the heap',
+  async t => {
+    t.timeout(30_000);
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    harness.publish({
+      limits: {
+        max_header_bytes: 4_096,
+        max_body_bytes: MB,
+        header_timeout: '3s',
+        idle_timeout: '5s',
+      },
+    });
+    await until(() => board.table?.config.limits.bodyBytes === MB);
+    const {host, customerPort} = board.settings;
+    const socket = connect(customerPort, host);
+    t.teardown(() => socket.destroy());
+    let reply = '';
+    socket.on('data', (chunk: Buffer) => (reply += chunk.toString()));
+    const head = [
+      'POST /slow/1 HTTP/1.1',
+      'host: shop.example',
+      'x-request-id: small',
+      'x-deadline-ms: 20000',
+      'transfer-encoding: chunked',
+    ];
+    socket.write(`${head.join('\r\n')}\r\n\r\n`);
+    setFlagsFromString('--expose-gc');
+    const gc = runInNewContext('gc') as () => void;
+    const readHeap = () => {
+      gc();
+      return process.memoryUsage().heapUsed;
+    };
+    const before = readHeap();
+    const chunks = Buffer.from('1\r\nx\r\n'.repeat(SMALL_CHUNKS / 100));
+    for (let i = 0; i < 100; i++) {
+      if (!socket.write(chunks)) await once(socket, 'drain');
+    }
+    await until(() => board.bodies.usedBytes === SMALL_CHUNKS);
+    const heapBytes = readHeap() - before;
+    t.true(heapBytes < 10 * MB, `${heapBytes} bytes`);
+    socket.write('0\r\n\r\n');
+    await until(() => reply);
+    t.regex(reply, /^HTTP\/1.1 200 /);
+  },
+);
--- a/src/sidecar/body_budget.ts
+++ b/src/sidecar/body_budget.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {ChunkList} from './chunk_list.js';
 
 /** Memory for the request bodies of customers and of other daemons. */
 export interface BodyBudget {
@@ -56,16 +57,14 @@
   const declared = Number(req.headers['content-length'] ?? 0);
   if (declared > maxBytes) return 'tooLarge';
   if (budget.usedBytes + declared > budget.limitBytes) return 'full';
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const chunks = new ChunkList();
   const input = req.iterator({destroyOnReturn: false});
   for await (const chunk of input as AsyncIterable<Buffer>) {
     if (hold.isReleased()) return undefined;
-    size += chunk.length;
     const fits = hold.add(chunk.length);
-    if (size > maxBytes) return 'tooLarge';
+    if (chunks.size + chunk.length > maxBytes) return 'tooLarge';
     if (!fits) return 'full';
     chunks.push(chunk);
   }
-  return hold.isReleased() ? undefined : Buffer.concat(chunks);
+  return hold.isReleased() ? undefined : chunks.take();
 }
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -10,6 +10,7 @@
   recordAnswerBytes,
   releaseAnswer,
 } from './answer_budget.js';
+import {ChunkList} from './chunk_list.js';
 
 /** Maximum size of a buffered answer, bytes; larger ones count as broken. */
 export const MAX_ANSWER_BYTES = 33_554_432;
@@ -214,7 +215,7 @@
   #controller?: Dispatcher.DispatchController;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
-  #chunks: Buffer[] = [];
+  readonly #chunks = new ChunkList();
   /** Bytes that are set aside for the rest of the answer. */
   #expectedBytes = 0;
   /** Bytes received so far. */
@@ -241,7 +242,7 @@
     this.#done = true;
     this.#expect(0);
     releaseAnswer(this.budget, this);
-    this.#chunks = [];
+    this.#chunks.clear();
     this.#settle(result);
   }
 
@@ -306,9 +307,7 @@
       this.#end({kind: 'broken', code: 'RESET_WITHIN_ANSWER'});
       return;
     }
-    const [first] = this.#chunks;
-    const single = this.#chunks.length === 1;
-    const body = single ? first : Buffer.concat(this.#chunks, this.size);
+    const body = this.#chunks.take();
     const status = this.#status;
     const headers = this.#headers;
     const framed =
