Bound the heap that heads of customers' requests take

Customers with large heads ended the daemon with SIGABRT at the limit of the heap (160 MB): 140 connections with 31 pipelined heads of 60 kB each, or 2,900 single legal heads of 15 kB in lines of 20 bytes that waited for a slow upstream. All other customers lost their requests.

Nothing counted heads, which are strings on the heap until the answer has gone out. In runs a head in progress took about two bytes a byte and 75 bytes for each name and value besides. An idle connection also held the head of its last request.

The heads of requests that were read and have no whole answer now count with this estimate, until the response closes or the connection ends. They may use 0.35 of the heap limit, or of the memory of the settings if that is less. Above that, a request is refused before it runs (`full`, 503), and a connection on which more than one request waits is not read on until there is room or only one is left. MAX_UNANSWERED stays at 32. The limit of Node's parser is unchanged.

--- /dev/null
+++ b/__tests__/head_memory.test.ts
@@ -0,0 +1,102 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {answerOk, startHarness, until} from './support/sidecar_harness.js';
+
+/** Memory for heads in the tests, bytes. */
+const LIMIT_BYTES = 100_000;
+
+/** Size of the padding of a head, bytes; below `max_header_bytes`. */
+const PADDING_BYTES = 3_000;
+
+function formatRequest(id: string): string {
+  const lines = [
+    'GET /slow/1 HTTP/1.1',
+    'host: shop.example',
+    `x-request-id: ${id}`,
+    'x-deadline-ms: 2000',
+    `x-padding: ${'y'.repeat(PADDING_BYTES)}`,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
+}
+
+interface Client {
+  socket: Socket;
+  /** What was received so far. */
+  read: () => string;
+}
+
+async function start(t: ExecutionContext) {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  Object.assign(board.heads, {limitBytes: LIMIT_BYTES});
+  harness.upstreams[0].handle = () => {};
+  const {host, customerPort} = board.settings;
+  const open = async (): Promise<Client> => {
+    const socket = connect(customerPort, host);
+    t.teardown(() => socket.destroy());
+    let text = '';
+    socket.on('error', () => {});
+    socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+    await once(socket, 'connect');
+    return {socket, read: () => text};
+  };
+  return {harness, board, open};
+}
+
+// 2,900 heads of 15 kB that waited for an upstream ended the daemon at the limit
+// of its heap.
+test.serial('heads of requests in progress are bounded', async t => {
+  const {harness, board, open} = await start(t);
+  const clients: Client[] = [];
+  for (let i = 0; i < 45; i++) {
+    const client = await open();
+    clients.push(client);
+    client.socket.write(formatRequest(`q${i}`));
+    await until(() => board.counters.get('entry_requests') === i + 1);
+  }
+  const refused = board.counters.get('entry_refused_head_memory') ?? 0;
+  t.true(refused > 0 && refused < 45, `${refused} refused`);
+  t.true(board.heads.usedBytes <= LIMIT_BYTES);
+  await until(() => clients.filter(({read}) => read()).length >= refused);
+  const replies = clients.map(({read}) => read()).filter(Boolean);
+  for (const reply of replies) t.regex(reply, /^HTTP\/1.1 503 /);
+  t.true(harness.upstreams[0].runs.length <= 45 - refused);
+  for (const {socket} of clients) socket.destroy();
+  await until(() => board.heads.usedBytes === 0);
+});
+
+// So did 140 clients with 31 heads of 60 kB each behind a request in progress.
+test.serial('heads that wait on a connection are bounded', async t => {
+  const {board, open} = await start(t);
+  const clients: Client[] = [];
+  for (let i = 0; i < 20; i++) {
+    const client = await open();
+    clients.push(client);
+    client.socket.write(formatRequest(`q${i}`).repeat(30));
+  }
+  await until(() => board.heads.usedBytes > LIMIT_BYTES);
+  await new Promise(resolve => setTimeout(resolve, 300));
+  // Each connection may be read once more, by at most 64 kB, which count for 2.5
+  // bytes a byte at most.
+  const mostBytes = LIMIT_BYTES + 20 * 65_536 * 2.5;
+  t.true(board.heads.usedBytes <= mostBytes, `${board.heads.usedBytes}`);
+  t.true((board.counters.get('entry_refused_head_memory') ?? 0) > 0);
+  for (const {socket} of clients) socket.destroy();
+  await until(() => board.heads.usedBytes === 0);
+});
+
+// A connection that is not read on for lack of memory would stall for good.
+test.serial('a connection is read on once there is memory again', async t => {
+  const sent = 100;
+  const {harness, board, open} = await start(t);
+  harness.upstreams[0].handle = (req, res) =>
+    void setTimeout(answerOk, 5, req, res);
+  const {socket, read} = await open();
+  for (let i = 0; i < sent; i++) socket.write(formatRequest(`q${i}`));
+  const countReplies = () => read().split('HTTP/1.1 ').length - 1;
+  await until(() => countReplies() === sent);
+  t.true((board.counters.get('entry_answered') ?? 0) > 0);
+  t.regex(read(), /HTTP\/1.1 503 /);
+  await until(() => board.heads.usedBytes === 0);
+});
--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -12,10 +12,40 @@
 /** Requests of a connection without an answer above which it is not read on. */
 const MAX_UNANSWERED = 32;
 
+/** What a byte of a head in progress takes of the heap, bytes: it is copied once
+ * to be forwarded. */
+const HEAP_PER_BYTE = 2;
+
+/** What a header name or value takes of the heap besides its bytes, bytes. Without
+ * it heads of many short lines would take more than twice what they count for. */
+const HEAP_PER_STRING = 75;
+
+/** Memory of the heap for the heads of requests that have no complete answer. */
+export interface HeadBudget {
+  readonly limitBytes: number;
+  /** Estimated bytes of all heads. */
+  usedBytes: number;
+}
+
+/** Measures the target and the headers of a request, bytes. */
+export function measureHead({url = '', rawHeaders}: IncomingMessage): number {
+  let bytes = url.length;
+  for (const text of rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
+
+/** Estimates what the head of a request in progress takes of the heap, bytes. */
+function estimateHeap(req: IncomingMessage): number {
+  const {length} = req.rawHeaders;
+  return measureHead(req) * HEAP_PER_BYTE + length * HEAP_PER_STRING;
+}
+
 /** Place of a request among those of its connection. */
 export interface RequestTurn {
   /** Time that it waited for the answers to earlier requests, ms. */
   readonly waitedMs: number;
+  /** False when there is no memory for its head. */
+  readonly hasHeadRoom: boolean;
   /** True when no later request of the connection has been read. */
   isLast(): boolean;
 }
@@ -33,6 +63,8 @@
   /** Called when a connection that the customer did not close ends before these
    * requests were answered. */
   readonly onCut?: (requests: readonly IncomingMessage[]) => void;
+  /** Memory for heads; unlimited by default. */
+  readonly heads?: HeadBudget;
 }
 
 /** Connections of customers. */
@@ -49,6 +81,10 @@
   readonly socket: Socket;
   /** Requests that were read and have no complete answer, in order. */
   readonly unanswered: Set<IncomingMessage>;
+  /** Estimated heap of the heads that count, by request, bytes. */
+  readonly headBytes: Map<IncomingMessage, number>;
+  /** True while the connection is not read on. */
+  paused: boolean;
   /** Latest request that was read. */
   latest?: IncomingMessage;
   /** Bytes read up to the end of the last answer. */
@@ -70,7 +106,7 @@
  */
 export function serveCustomers(
   server: Server,
-  {handle, answerError, onCut}: CustomerHandlers,
+  {handle, answerError, onCut, heads}: CustomerHandlers,
 ): CustomerConnections {
   const connections = new Map<Duplex, Connection>();
   /** Connections whose timeout has passed and whose input is being read. */
@@ -83,6 +119,21 @@
       if (overdue.delete(socket)) fn();
     });
   };
+  const hasHeadRoom = (): boolean =>
+    !heads || heads.usedBytes <= heads.limitBytes;
+  const countHead = ({headBytes}: Connection, req: IncomingMessage): void => {
+    if (!heads) return;
+    const bytes = estimateHeap(req);
+    headBytes.set(req, bytes);
+    heads.usedBytes += bytes;
+  };
+  const releaseHead = ({headBytes}: Connection, req: IncomingMessage): void => {
+    if (heads) heads.usedBytes -= headBytes.get(req) ?? 0;
+    headBytes.delete(req);
+  };
+  // The first request is left to be read: its body may not have come in yet.
+  const mustWait = ({unanswered}: Connection): boolean =>
+    unanswered.size > MAX_UNANSWERED || (unanswered.size > 1 && !hasHeadRoom());
   const answerFault = (connection: Connection, err: Error): void => {
     connection.ended = true;
     answerError(err, connection.socket);
@@ -113,11 +164,21 @@
       answerFault(connection, err);
       return;
     }
-    handle(req, res, {waitedMs, isLast: () => connection.latest === req});
+    handle(req, res, {
+      waitedMs,
+      hasHeadRoom: hasHeadRoom(),
+      isLast: () => connection.latest === req,
+    });
     res.once('close', () => {
       if (res.writableFinished) unanswered.delete(req);
       connection.readBytes = socket.bytesRead;
-      if (unanswered.size === MAX_UNANSWERED) socket.resume();
+      releaseHead(connection, req);
+      // An idle connection would hold the head of its last request.
+      if (connection.latest === req) connection.latest = undefined;
+      if (connection.paused && !mustWait(connection)) {
+        connection.paused = false;
+        socket.resume();
+      }
       const {err, ended} = connection;
       if (err && !ended && unanswered.size === 0) answerFault(connection, err);
     });
@@ -126,6 +187,8 @@
     const connection: Connection = {
       socket,
       unanswered: new Set(),
+      headBytes: new Map(),
+      paused: false,
       readBytes: 0,
       closing: false,
       ended: false,
@@ -134,7 +197,8 @@
     socket.destroySoon = () => endConnection(connection);
     socket.once('close', () => {
       connections.delete(socket);
-      const {unanswered} = connection;
+      const {unanswered, headBytes} = connection;
+      for (const req of headBytes.keys()) releaseHead(connection, req);
       const byCustomer = socket.readableEnded || socket.errored;
       if (!byCustomer && unanswered.size > 0) onCut?.([...unanswered]);
     });
@@ -149,10 +213,13 @@
     }
     connection.unanswered.add(req);
     connection.latest = req;
-    if (connection.unanswered.size > MAX_UNANSWERED) {
+    countHead(connection, req);
+    if (mustWait(connection)) {
       // Node's parser resumes the connection at the end of each request.
       setImmediate(() => {
-        if (connection.unanswered.size > MAX_UNANSWERED) socket.pause();
+        if (!mustWait(connection) || connection.ended) return;
+        connection.paused = true;
+        socket.pause();
       });
     }
     const readAt = performance.now();
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -42,7 +42,9 @@
 } from './answer_budget.js';
 import {type BodyBudget, createBodyBudget} from './body_budget.js';
 import type {DecisionLog} from './decision_log.js';
+import type {HeadBudget} from '../daemon/customer_server.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
+import {getHeapStatistics} from 'node:v8';
 
 /** Share of the process memory that answers may use. */
 const ANSWER_MEMORY_SHARE = 0.35;
@@ -50,6 +52,10 @@
 /** Share of the process memory that request bodies may use. */
 const BODY_MEMORY_SHARE = 0.15;
 
+/** Share that heads of requests may use, of the memory of the process or of its
+ * heap, whichever is smaller. */
+const HEAD_MEMORY_SHARE = 0.35;
+
 /** A long poll of a peer that waits for a change. */
 export interface PendingPoll {
   /** Monotonic time at which the copy had last matched the store when the poll
@@ -100,6 +106,8 @@
   readonly answers: AnswerBudget;
   /** Memory for the request bodies of customers and of other daemons. */
   readonly bodies: BodyBudget;
+  /** Memory for the heads of customers' requests that have no whole answer. */
+  readonly heads: HeadBudget;
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
   readonly announcedLeaving: Map<string, number>;
@@ -163,6 +171,7 @@
     bodies: createBodyBudget(
       Math.floor(deps.settings.memoryMb * 1_048_576 * BODY_MEMORY_SHARE),
     ),
+    heads: createHeadBudget(deps.settings.memoryMb * 1_048_576),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
     loggedCopyState: 'current',
@@ -175,6 +184,12 @@
   };
 }
 
+function createHeadBudget(memoryBytes: number): HeadBudget {
+  const {heap_size_limit: heapBytes} = getHeapStatistics();
+  const bytes = Math.min(memoryBytes, heapBytes) * HEAD_MEMORY_SHARE;
+  return {limitBytes: Math.floor(bytes), usedBytes: 0};
+}
+
 /** Counts and logs what is done when the memory for answers runs short. */
 function createAnswerEvents(
   {log}: BoardDeps,
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -80,6 +80,10 @@
   }
   if (board.closed) return finishRefused(state, exchange, 'leaving');
   if (isOverdue(board)) return finishRefused(state, exchange, 'staleView');
+  if (!exchange.turn.hasHeadRoom) {
+    count(board, 'entry_refused_head_memory');
+    return finishRefused(state, exchange, 'full');
+  }
   const refusal = checkHead(state, exchange, table);
   if (refusal) return finishRefused(state, exchange, refusal);
   startDeadline(state, exchange);
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -7,6 +7,7 @@
   findRoute,
   listUpstreams,
 } from '../internal.js';
+import {measureHead} from '../daemon/customer_server.js';
 import {createBodyHold, readCountedBody} from './body_budget.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyRawHeaders, countHeader, readHeader} from './header_copy.js';
@@ -27,9 +28,7 @@
 ): Outcome | undefined {
   const {req} = exchange;
   const {headers, rawHeaders} = req;
-  let headerBytes = (req.url ?? '').length;
-  for (const text of rawHeaders) headerBytes += text.length + 2;
-  if (headerBytes > table.config.limits.headerBytes) return 'tooLarge';
+  if (measureHead(req) > table.config.limits.headerBytes) return 'tooLarge';
   if (exchange.id === '') return 'badRequest';
   // The HTTP client does not send it, as if the upstream were down.
   if (countHeader(rawHeaders, 'host') > 1) return 'badRequest';
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -54,6 +54,7 @@
       answerClientError(err, socket);
     },
     onCut: requests => logCut(board, requests),
+    heads: board.heads,
   });
   return {server, ...connections};
 }
@@ -159,6 +160,7 @@
     answer_bytes: memory.answerBytes,
     answer_waiting_bytes: board.answers.waitingBytes,
     body_bytes: memory.bodyBytes,
+    head_bytes: board.heads.usedBytes,
     customer_connections: memory.connections,
     ...(descriptors !== undefined && {open_descriptors: descriptors}),
     link_unsent_bytes: countUnsentBytes(board.pacer),
