Record heads that do not end as an open fault

The failing test shows the cause: a head of twice the configured limit gets no answer before the header timeout.

--- a/__tests__/head_memory.test.ts
+++ b/__tests__/head_memory.test.ts
@@ -100,3 +100,17 @@
   t.regex(read(), /HTTP\/1.1 503 /);
   await until(() => board.heads.usedBytes === 0);
 });
+
+// 4,000 heads of 58 kB that did not end took a daemon to 283 MB, where 250 were
+// allowed: only the parser's own limit of 64 kB holds for them.
+test.serial.failing('a head above the limit is refused unfinished', async t => {
+  const {board, open} = await start(t);
+  const limitBytes = board.table?.config.limits.headerBytes ?? 0;
+  const {socket, read} = await open();
+  const [requestLine] = formatRequest('q').split('\r\n');
+  const line = `x-padding: ${'y'.repeat(1_000)}\r\n`;
+  const lines = Math.ceil((2 * limitBytes) / line.length);
+  socket.write(`${requestLine}\r\n${line.repeat(lines)}`);
+  await until(read);
+  t.regex(read(), /^HTTP\/1.1 431 /);
+});
