Bound the memory of heads that do not end

Clients that send most of a legal head and no end could still exceed a daemon's memory: with 16 kB allowed, its 4,000 descriptors hold heads of 64 MB, for which nothing counted until they ended or the header timeout passed.

Every 100 ms the daemon now adds the bytes of incomplete heads, at the estimate of heads in progress, to those of the heads that count. Above the limit it refuses incomplete heads with 503 and closes their connections, the largest first, until the rest fit. Customers with ordinary heads are not affected.

A head behind a request in progress on its connection is not seen by this check; the limit of the parser holds for it.

The new test fails without the check: no head is refused.

--- a/__tests__/head_memory.test.ts
+++ b/__tests__/head_memory.test.ts
@@ -114,3 +114,33 @@
   await until(read);
   t.regex(read(), /^HTTP\/1.1 431 /);
 });
+
+// Heads below the limit that did not end counted for nothing, so that enough of
+// them exceeded the memory. Small ones go on while large ones are refused.
+test.serial('heads that do not end are bounded together', async t => {
+  const {harness, board, open} = await start(t);
+  harness.upstreams[0].handle = answerOk;
+  const small = await open();
+  const smallHead = formatRequest('small').replace(/x-padding.*\r\n/, '');
+  small.socket.write(smallHead.slice(0, -2));
+  const clients: Client[] = [];
+  for (let i = 0; i < 40; i++) {
+    const client = await open();
+    clients.push(client);
+    client.socket.write(formatRequest(`q${i}`).slice(0, -2));
+  }
+  const countRefused = () => clients.filter(({read}) => read()).length;
+  const refused = () => board.counters.get('entry_refused_head_memory') ?? 0;
+  // A head counts for twice its bytes.
+  const leastRefused = 40 - LIMIT_BYTES / (2 * PADDING_BYTES);
+  await until(() => refused() >= leastRefused && countRefused() === refused());
+  t.true(countRefused() < 40);
+  const refusals = clients.map(({read}) => read()).filter(Boolean);
+  for (const reply of refusals) t.regex(reply, /^HTTP\/1.1 503 /);
+  // One after the other: heads in progress count for more than incomplete ones.
+  for (const {socket, read} of [small, ...clients.filter(c => !c.read())]) {
+    socket.write('\r\n');
+    await until(read);
+    t.regex(read(), /^HTTP\/1.1 200 /);
+  }
+});
--- a/src/daemon/customer_server.ts
+++ b/src/daemon/customer_server.ts
@@ -5,6 +5,9 @@
 /** Code of the error for a connection whose headers are overdue. */
 export const HEADERS_OVERDUE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
+/** Code of the error for an incomplete head for which there is no memory. */
+export const HEADS_FULL = 'HEADS_FULL';
+
 /** Time for which a connection that was ended is read on, ms, unless the
  * customer ends it too. */
 const CLOSE_LINGER_MS = 1_000;
@@ -71,6 +74,9 @@
 export interface CustomerConnections {
   /** Closes the connections on which nothing is in progress. */
   closeIdle(): void;
+  /** Refuses incomplete heads, the largest first, while the memory for heads does
+   * not hold all heads. */
+  limitIncompleteHeads(): void;
   /** Number of open connections. */
   countOpen(): number;
   /** Number of connections whose customer may still receive the last bytes. */
@@ -258,6 +264,21 @@
         });
       }
     },
+    limitIncompleteHeads() {
+      if (!heads) return;
+      const incomplete = [...connections.values()]
+        .map(connection => ({connection, bytes: measureIncomplete(connection)}))
+        .filter(({bytes}) => bytes > 0)
+        .sort((a, b) => b.bytes - a.bytes);
+      let excessBytes = heads.usedBytes - heads.limitBytes;
+      for (const {bytes} of incomplete) excessBytes += bytes * HEAP_PER_BYTE;
+      for (const {connection, bytes} of incomplete) {
+        if (excessBytes <= 0) break;
+        excessBytes -= bytes * HEAP_PER_BYTE;
+        const err = new Error('no memory for the headers of the request');
+        reject(Object.assign(err, {code: HEADS_FULL}), connection.socket);
+      }
+    },
     countOpen: () => connections.size,
     countEnding: () =>
       [...connections.values()].filter(({ended}) => ended).length,
@@ -274,6 +295,12 @@
   return !isBusy(connection) && socket.bytesRead === readBytes;
 }
 
+/** Measures a head that was read in part while no request is in progress, bytes. */
+function measureIncomplete(connection: Connection): number {
+  const {socket, readBytes, closing} = connection;
+  return closing || isBusy(connection) ? 0 : socket.bytesRead - readBytes;
+}
+
 /**
  * Ends the writing side and reads on: closing a connection whose input is unread
  * resets it, which discards what the customer has not received yet.
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,6 +1,7 @@
 import {
   type CustomerConnections,
   HEADERS_OVERDUE,
+  HEADS_FULL,
   serveCustomers,
 } from '../daemon/customer_server.js';
 import {renderMetrics} from '../daemon/metrics.js';
@@ -54,7 +55,8 @@
   const connections = serveCustomers(server, {
     handle: entry,
     answerError(err, socket) {
-      count(board, 'entry_bad_http');
+      const isFull = 'code' in err && err.code === HEADS_FULL;
+      count(board, isFull ? 'entry_refused_head_memory' : 'entry_bad_http');
       answerClientError(err, socket);
     },
     onCut: requests => logCut(board, requests),
@@ -196,6 +198,7 @@
 const CLIENT_ERRORS: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   [HEADERS_OVERDUE]: '408 Request Timeout',
+  [HEADS_FULL]: '503 Service Unavailable',
 };
 
 /** Answers a malformed or incomplete request and closes its connection. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -66,6 +66,9 @@
 /** Interval at which a stopping process checks for running requests, ms. */
 const STOP_POLL_MS = 50;
 
+/** Interval of the check of the memory for incomplete heads, ms. */
+const HEAD_CHECK_MS = 100;
+
 /** A running sidecar. */
 export interface Sidecar {
   readonly board: SidecarBoard;
@@ -223,7 +226,11 @@
   }, LAG_WINDOW_MS);
   const readUse = () => readMemoryUse(board, readLoad());
   const checkMemory = createMemoryWatch({log, readUse});
-  timers.push(ticker, setInterval(checkMemory, MEMORY_CHECK_MS));
+  timers.push(
+    ticker,
+    setInterval(checkMemory, MEMORY_CHECK_MS),
+    setInterval(customers.limitIncompleteHeads, HEAD_CHECK_MS),
+  );
   log.write('always', 'started', {service: settings.service});
 
   return {
