Let a copy age while its changes are decoded and applied

A daemon could take its copy of the store for younger than it was, by the time that it took to decode and apply an answer, and said so to the daemons that ask it. Bounds for changes of the configuration and for leaving upstreams rest on that age.

An answer's age was computed when it arrived, and subtracted from the clock only once the answer had been decoded and applied. An answer now carries the monotonic time at which the copy matched the store at the earliest.

The new test applies each value in 50 ms. On the code before, with the older field in its stand-in of a peer, it failed: the copy of the daemon that asks its peer was 45 ms old right after a change. Three existing assertions on the age are now on the same bound of the time.

--- a/__tests__/peer_state.test.ts
+++ b/__tests__/peer_state.test.ts
@@ -56,10 +56,11 @@
   } as unknown as SidecarBoard;
   const peers = createStorePeers(board, client);
   const update = await peers.ask(address, 1, WAIT_MS);
-  const {ageMs = 0, ...rest} = typeof update === 'object' ? update : {};
+  const now = performance.now();
+  const {matchedAt = now, ...rest} = typeof update === 'object' ? update : {};
   t.deepEqual(rest, {state: undefined, revision: 9});
   // The copy is as old as the answer says, and older by the wait.
-  t.true(ageMs >= 7 + BUSY_MS);
+  t.true(now - matchedAt >= 7 + BUSY_MS);
 });
 
 // The same for reads of the store, by which a daemon recovers from lost polls.
@@ -112,8 +113,9 @@
 // Daemons took the old copy of a reader that had lost the store for a fresh one.
 test('an answer states the age of the copy', async t => {
   const [reply] = await pollWithTurnaround(t, 0);
-  const {ageMs = 0} = reply as {ageMs?: number};
-  t.true(ageMs >= FRESH_MS, `${ageMs} ms`);
+  // The clock of the daemons stands at 0 in the first round.
+  const {matchedAt = 0} = reply as {matchedAt?: number};
+  t.true(matchedAt <= -FRESH_MS, `${matchedAt} ms`);
 });
 
 // The reader of a data centre was a daemon with a saturated link: its answers
@@ -142,9 +144,10 @@
   const mirror = createMirror('');
   const now = () => performance.now();
   const result = await watchChanges({store, mirror, now}, 0);
+  const endedAt = now();
   t.is(mirror.revision, 9);
   // The copy is as old as the transfer.
-  t.true(typeof result === 'object' && result.ageMs >= 800);
+  t.true(typeof result === 'object' && endedAt - result.matchedAt >= 800);
 });
 
 test('an answer of the store that stops arriving fails', async t => {
--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -39,6 +39,12 @@
   overloaded: boolean;
   /** Time for which answers of the store are on the way or wait unread, ms. */
   wayMs: number;
+  /** Time that it takes to apply a changed value, ms. */
+  applyMs: number;
+  /** Total of these times, by which its clock is ahead of the others, ms. */
+  appliedMs: number;
+  /** Least age that its copy had right after a change was applied, ms. */
+  leastAgeMs: number;
 }
 
 /** Timeout of a call that the store does not answer, ms. */
@@ -74,13 +80,13 @@
     const endAt = performance.now() + waitMs;
     const readMatchedAt = () =>
       performance.now() - (daemon?.follow.readAge() ?? 0);
-    const matchedAt = readMatchedAt();
+    const askedMatch = readMatchedAt();
     while (performance.now() < endAt) {
       if (daemon && !daemon.silent) {
         if (readMirror(daemon.mirror, after)) break;
         if (daemon.follow.readAge() > FRESH_MS) break;
         // A copy that was confirmed without a change, as in `answerOldPolls`.
-        if (readMatchedAt() - matchedAt >= POLL_MS / 2) break;
+        if (readMatchedAt() - askedMatch >= POLL_MS / 2) break;
       }
       await wait(10);
     }
@@ -88,17 +94,20 @@
       await wait(ANSWER_MARGIN_MS);
       return undefined;
     }
-    const ageMs = daemon.follow.readAge();
+    const asker = daemons.find(({name}) => name === from);
+    const matchedAt = readMatchedAt() + (asker?.appliedMs ?? 0);
     const state = readMirror(daemon.mirror, after);
-    return {ageMs, state, revision: state ? undefined : daemon.mirror.revision};
+    const revision = state ? undefined : daemon.mirror.revision;
+    return {matchedAt, state, revision};
   };
   for (const name of names) {
     const known = new Map<string, string>();
     const events: string[] = [];
     let changeCount = 0;
-    const mirror = createMirror('k/', (key, before, after) =>
-      isUnchanged(key.slice(2), before, after),
-    );
+    const mirror = createMirror('k/', (key, before, after) => {
+      daemon.appliedMs += daemon.applyMs;
+      return isUnchanged(key.slice(2), before, after);
+    });
     const failWhenCut = async (endAt: number) => {
       if (!daemon.cut) return;
       await wait(endAt - performance.now());
@@ -114,6 +123,9 @@
       cut,
       overloaded: false,
       wayMs: 0,
+      applyMs: 0,
+      appliedMs: 0,
+      leastAgeMs: Infinity,
       follow: undefined as unknown as StoreFollower,
     };
     daemon.follow = startStoreFollower({
@@ -142,6 +154,10 @@
       },
       onChanges: (changes: KeyChange[]) => {
         changeCount += changes.length;
+        if (changes.length > 0) {
+          const ageMs = daemon.follow.readAge();
+          daemon.leastAgeMs = Math.min(daemon.leastAgeMs, ageMs);
+        }
         for (const {key, value} of changes) {
           if (value === undefined) known.delete(key);
           else known.set(key, value.toString());
@@ -158,7 +174,7 @@
       onAnswer: () => undefined,
       random: () => 0.5,
       isOverloaded: () => daemon.overloaded,
-      now: () => performance.now(),
+      now: () => performance.now() + daemon.appliedMs,
     });
     t.teardown(() => daemon.follow.stop());
     daemons.push(daemon);
@@ -378,6 +394,27 @@
   }
 });
 
+// The age counted until the answer had arrived, and the time to decode and apply it
+// made the copy younger: at each daemon on the way, more for large versions.
+test.serial('a copy ages while its changes are applied', async t => {
+  const {clock, store, start} = createHarness(t, 2);
+  store.put('k/a', '0');
+  const daemons = start();
+  await clock.tickAsync(1_000);
+  for (const daemon of daemons) {
+    daemon.applyMs = 50;
+    daemon.leastAgeMs = Infinity;
+  }
+  for (let i = 1; i <= 5; i++) {
+    store.put('k/a', String(i));
+    await clock.tickAsync(1_000);
+  }
+  for (const {name, known, leastAgeMs} of daemons) {
+    t.is(known.get('k/a'), '5', name);
+    t.true(leastAgeMs >= 50, `${name}: ${leastAgeMs} ms`);
+  }
+});
+
 /** Writes numbers to one key at random times for `ms`; calls `check` each 10 ms
  * with the times of the writes, by number. */
 async function writeNumbers(
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -70,9 +70,10 @@
 
 /** Answer of another daemon about the state of the store. */
 export interface PeerUpdate {
-  /** Time since its copy was last known to match the store, ms; includes the
-   * time that the answer took to arrive. */
-  readonly ageMs: number;
+  /** Monotonic time of this daemon at which the other's copy matched the store
+   * at the earliest, ms. A time, as an age would grow while the answer is decoded
+   * and applied. */
+  readonly matchedAt: number;
   /** Undefined when it has nothing newer. */
   readonly state: MirrorState | undefined;
   /** Revision of its copy, if it has nothing newer and says so. */
@@ -239,11 +240,11 @@
   state.deps.onSource(source);
 }
 
-function markFresh(state: FollowerState, ageMs: number): void {
+function markFresh(state: FollowerState, matchedAt: number): void {
   const {deps} = state;
   const outageMs = readOutage(state);
-  state.confirmedAt = Math.max(state.confirmedAt, deps.now() - ageMs);
-  markMatched(state, ageMs);
+  state.confirmedAt = Math.max(state.confirmedAt, matchedAt);
+  markMatched(state, matchedAt);
   state.unavailable = false;
   state.lost = false;
   if (!state.stale) return;
@@ -251,9 +252,8 @@
   deps.onRegained(outageMs);
 }
 
-function markMatched(state: FollowerState, ageMs: number): void {
-  const at = state.deps.now() - ageMs;
-  state.matchedAt = Math.max(state.matchedAt ?? at, at);
+function markMatched(state: FollowerState, matchedAt: number): void {
+  state.matchedAt = Math.max(state.matchedAt ?? matchedAt, matchedAt);
 }
 
 /** Time for which the store has been unavailable since the copy matched it, ms;
@@ -301,10 +301,12 @@
     state.faulty = false;
     state.needsFullRead = result === 'compacted';
     if (result === 'compacted') return false;
-    const {changes, ageMs} = result;
-    const elapsedMs = deps.now() - startedAt;
+    const {changes, matchedAt} = result;
+    const now = deps.now();
+    const elapsedMs = now - startedAt;
+    const ageMs = now - matchedAt;
     deps.onAnswer({source: 'store', waitMs, elapsedMs, ageMs});
-    markFresh(state, ageMs);
+    markFresh(state, matchedAt);
     deps.onChanges(changes);
     return true;
   } catch (err) {
@@ -372,8 +374,9 @@
   const update = await peers.ask(address, after, POLL_MS);
   if (state.stopped) return;
   if (typeof update === 'object') {
-    const elapsedMs = now() - startedAt;
-    const {ageMs} = update;
+    const answeredAt = now();
+    const elapsedMs = answeredAt - startedAt;
+    const ageMs = answeredAt - update.matchedAt;
     onAnswer({source: 'peer', waitMs: POLL_MS, elapsedMs, ageMs});
   }
   if (update === 'declined') {
@@ -392,20 +395,20 @@
 /** Applies the update of another daemon; returns true when it is fresh. */
 function applyPeerUpdate(
   state: FollowerState,
-  {ageMs, state: peerState, revision}: PeerUpdate,
+  {matchedAt, state: peerState, revision}: PeerUpdate,
   askedRevision: number,
 ): boolean {
   const {deps} = state;
   const {mirror} = deps;
-  const fresh = ageMs <= FRESH_MS;
+  const fresh = deps.now() - matchedAt <= FRESH_MS;
   const changes = peerState && applyMirrorState(mirror, peerState);
   if (revision !== undefined && askedRevision === mirror.revision) {
     confirmRevision(mirror, revision);
   }
   state.needsAllItems = peerState !== undefined && changes === undefined;
   if (state.needsAllItems) return fresh;
-  if (fresh) markFresh(state, ageMs);
-  else if (changes) markMatched(state, ageMs);
+  if (fresh) markFresh(state, matchedAt);
+  else if (changes) markMatched(state, matchedAt);
   if (changes) state.needsFullRead = false;
   // Others may wait for the news that nothing has changed.
   if (changes || fresh) deps.onChanges(changes ?? []);
--- a/src/core/store_reads.ts
+++ b/src/core/store_reads.ts
@@ -37,10 +37,11 @@
   readonly now: () => number;
 }
 
-/** Changes of one read of the store, and how old they are at most, ms. */
+/** Changes of one read of the store, and the monotonic time at which the copy
+ * matched the store at the earliest, ms. */
 export interface ReadResult {
   readonly changes: KeyChange[];
-  readonly ageMs: number;
+  readonly matchedAt: number;
 }
 
 /** Waits for changes after the revision of the copy, and applies them. */
@@ -57,8 +58,8 @@
   // An answer may be held back on its way. It is known to have been given after
   // the start of the call, and after the wait when there were no changes.
   const waited = events.length === 0 && elapsedMs >= waitMs;
-  const ageMs = waited ? elapsedMs - waitMs : elapsedMs;
-  return {changes: applyEvents(mirror, events, revision), ageMs};
+  const matchedAt = waited ? startedAt + waitMs : startedAt;
+  return {changes: applyEvents(mirror, events, revision), matchedAt};
 }
 
 /** Reads all keys and applies them. */
@@ -80,5 +81,5 @@
     if (!page.more || after === undefined) break;
   }
   const changes = applyFullRead(mirror, items, revision);
-  return {changes, ageMs: now() - startedAt};
+  return {changes, matchedAt: startedAt};
 }
--- a/src/sidecar/peer_state.ts
+++ b/src/sidecar/peer_state.ts
@@ -280,14 +280,14 @@
   }
   const answeredAgeMs = Number(readHeader(headers, HEADERS.ageMs) ?? NaN);
   const heldMs = Number(readHeader(headers, HEADERS.heldMs) ?? 0);
-  const transitMs = Math.max(0, board.now() - sentAt - heldMs);
-  const ageMs = answeredAgeMs + transitMs;
-  if (!Number.isFinite(ageMs)) return undefined;
+  // The answer may have been given as soon as the request was sent and held.
+  const matchedAt = Math.min(board.now(), sentAt + heldMs) - answeredAgeMs;
+  if (!Number.isFinite(matchedAt)) return undefined;
   if (status !== 200) {
-    return {ageMs, state: undefined, revision: readRevision(headers)};
+    return {matchedAt, state: undefined, revision: readRevision(headers)};
   }
   const state = decodeState(board, address, body);
-  return state && {ageMs, state};
+  return state && {matchedAt, state};
 }
 
 function readRevision(headers: IncomingHttpHeaders): number | undefined {
