Keep the cold rate while no daemon can hear that an upstream is cold

Cause: the owner learned of a cold upstream only from the list or from a health check, and checks started only after a restart, a failed call or the end of a take-out that it had seen. All but the failed call come from the store. While its copy was old it asked nothing, though health answers state the cold time and need neither the store nor a peer.

Change: while the copy is older than FRESH_MS, the owner lets the upstream have half a second of the cold rate and 3 requests, and the cold rate; a health answer that says it is warm fills that up again, less what was started since the check was sent. A refused or missing answer leaves the cold rate. The first answer after the copy has become fresh ends this. No call of the store is added.

--- /dev/null
+++ b/__tests__/cold_upstream.test.ts
@@ -0,0 +1,133 @@
+import test from 'ava';
+import {
+  FRESH_MS,
+  admit,
+  confirmWarm,
+  createLimiter,
+  needsConfirmation,
+  setColdRate,
+  setUnconfirmed,
+  type LimiterRequest,
+} from '../src/internal.js';
+import {
+  answerOk,
+  startHarness,
+  type HarnessUpstream,
+  type SidecarHarness,
+} from './support/sidecar_harness.js';
+
+/** Requests that a cold upstream bears in one second: 1.5 times `cold_per_s` of the
+ * harness, and 5 more. */
+const COLD_LIMIT = 35;
+
+/** Requests in progress at any time. */
+const CONCURRENCY = 4;
+
+/** Sends requests as fast as they are answered; returns the largest number that an
+ * upstream got within one second. */
+async function countBusiestSecond(
+  {send}: SidecarHarness,
+  upstream: HarnessUpstream,
+  requests: number,
+): Promise<number> {
+  const times: number[] = [];
+  upstream.handle = (req, res) => {
+    times.push(performance.now());
+    answerOk(req, res);
+  };
+  for (let sent = 0; sent < requests; sent += CONCURRENCY) {
+    await Promise.all(Array.from({length: CONCURRENCY}, () => send(0)));
+  }
+  const counts = times.map(
+    start => times.filter(at => at >= start && at < start + 1_000).length,
+  );
+  return Math.max(0, ...counts);
+}
+
+/** What an upstream that has turned cold answers to health checks from then on. */
+const COLD_ANSWERS: Record<string, (upstream: HarnessUpstream) => void> = {
+  'says so': own => (own.health = {'x-cold-ms': '40000'}),
+  // A full upstream refuses health checks as it does requests.
+  'refuses health checks': own => (own.health = {'x-not-run': '1'}),
+  'answers no health check': own => (own.ignoreHealthChecks = true),
+};
+
+for (const [answer, turnCold] of Object.entries(COLD_ANSWERS)) {
+  // The owner asked its upstream only after a restart, a failed call or the end of
+  // a take-out; when the store failed meanwhile, a cold upstream got the full rate.
+  test.serial(`copy old, and a cold upstream ${answer}`, async t => {
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    const [own] = harness.upstreams;
+    board.readMirrorAge = () => FRESH_MS + 1;
+    t.true((await countBusiestSecond(harness, own, 40)) > 0);
+    turnCold(own);
+    const busiest = await countBusiestSecond(harness, own, 80);
+    t.true(busiest <= COLD_LIMIT, `${busiest} requests in one second`);
+  });
+}
+
+// An upstream that turned cold at the end of an outage got the full rate until its
+// next heartbeat was stored.
+test.serial('an upstream was cold before the copy was fresh', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  board.readMirrorAge = () => FRESH_MS + 1;
+  await harness.send(0);
+  own.health = {'x-cold-ms': '40000'};
+  board.readMirrorAge = () => 0;
+  const busiest = await countBusiestSecond(harness, own, 80);
+  t.true(busiest <= COLD_LIMIT, `${busiest} requests in one second`);
+});
+
+// Health checks take time of the upstream and are charged for.
+test.serial('a warm upstream is asked once for several requests', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  const before = own.checks.length;
+  board.readMirrorAge = () => FRESH_MS + 1;
+  await countBusiestSecond(harness, own, 120);
+  const whileOld = own.checks.length - before;
+  t.true(whileOld > 0);
+  t.true(whileOld * 5 <= own.runs.length, `${whileOld} for ${own.runs.length}`);
+  board.readMirrorAge = () => 0;
+  await countBusiestSecond(harness, own, 120);
+  t.is(own.checks.length - before, whileOld + 1);
+  t.is(board.limiter.unconfirmed, undefined);
+});
+
+// The upstream may have turned cold right after it said that it was warm.
+test('a warm answer does not cover the requests started since', t => {
+  const limiter = createLimiter(0);
+  Object.assign(limiter, {coldUntil: -Infinity, slots: 100});
+  setColdRate(limiter, 20);
+  setUnconfirmed(limiter, true, 0);
+  const request: LimiterRequest = {
+    kind: 'k',
+    rank: 0,
+    goalAt: 1_000,
+    deadlineAt: 2_000,
+    start: () => undefined,
+    refuse: () => undefined,
+  };
+  const startMany = () => {
+    const before = limiter.started;
+    for (let i = 0; i < 40; i++) admit(limiter, request, 0);
+    return limiter.started - before;
+  };
+  t.false(needsConfirmation(limiter, 0));
+  t.is(startMany(), 13);
+  t.true(needsConfirmation(limiter, 0));
+  confirmWarm(limiter, limiter.started - 10, 0);
+  t.is(limiter.started, 13);
+  limiter.queue = [];
+  t.is(startMany(), 3);
+  confirmWarm(limiter, 0, 0);
+  limiter.queue = [];
+  t.is(startMany(), 0);
+  confirmWarm(limiter, limiter.started, 0);
+  limiter.queue = [];
+  t.is(startMany(), 13);
+});
--- a/src/core/concurrency_limiter.ts
+++ b/src/core/concurrency_limiter.ts
@@ -3,6 +3,7 @@
   computeTokenWaitMs,
   createTokenBucket,
   emptyBucket,
+  raiseTokens,
   takeToken,
 } from './token_bucket.js';
 
@@ -19,6 +20,16 @@
 /** Token bucket capacity of a stated limit, seconds of its rate. */
 const STATED_BURST_S = 0.25;
 
+/**
+ * Requests that an upstream may get beyond the cold rate before it has to say again
+ * that it is warm: seconds of that rate, and a number. In any second the users allow
+ * one and a half times the rate and 5 more, of which 2 are left for health checks.
+ */
+const UNCONFIRMED_BURST = {rateS: 0.5, requests: 3};
+
+/** Share of these requests that is left when the upstream is asked. */
+const CONFIRM_SHARE = 0.25;
+
 /** Smoothing factor of the mean time in a slot. */
 const MEAN_GAIN = 0.1;
 
@@ -72,6 +83,11 @@
   coldUntil: number;
   /** Limits the rate of requests while the upstream is cold. */
   readonly coldRate: TokenBucket;
+  /** Limits the requests since the upstream last said that it is warm, while
+   * nobody else would report that it has turned cold. */
+  unconfirmed?: TokenBucket;
+  /** Number of requests started so far. */
+  started: number;
   /** Limit that the upstream states, requests per second. */
   statedPerS?: number;
   /** Limits the rate of requests while the upstream states a limit. */
@@ -95,6 +111,7 @@
       ...createTokenBucket(DEFAULT_COLD_PER_S, COLD_BURST, now),
       tokens: 1,
     },
+    started: 0,
     down: false,
     meanMs: INITIAL_MEAN_MS,
     meanByKind: new Map(),
@@ -125,6 +142,50 @@
   limiter.coldRate.perS = perS > 0 ? perS : DEFAULT_COLD_PER_S;
 }
 
+/** Sets whether the upstream itself has to say that it is still warm; what it may
+ * get until it does is kept while that stays so. */
+export function setUnconfirmed(
+  limiter: ConcurrencyLimiter,
+  unconfirmed: boolean,
+  now: number,
+): void {
+  if (!unconfirmed) {
+    limiter.unconfirmed = undefined;
+    return;
+  }
+  const {perS} = limiter.coldRate;
+  const {rateS, requests} = UNCONFIRMED_BURST;
+  const capacity = perS * rateS + requests;
+  limiter.unconfirmed ??= createTokenBucket(perS, capacity, now);
+  Object.assign(limiter.unconfirmed, {perS, capacity});
+}
+
+/** True when the upstream has to be asked whether it is still warm. */
+export function needsConfirmation(
+  limiter: ConcurrencyLimiter,
+  now: number,
+): boolean {
+  const {unconfirmed} = limiter;
+  if (!unconfirmed || isCold(limiter, now)) return false;
+  const wanted = unconfirmed.capacity * CONFIRM_SHARE;
+  return computeTokenWaitMs(unconfirmed, wanted, now) > 0;
+}
+
+/**
+ * Records that the upstream was warm at some time after the `startedThen`-th
+ * request was started. It may have turned cold right after that, so those that
+ * were started since then count.
+ */
+export function confirmWarm(
+  {unconfirmed, started}: ConcurrencyLimiter,
+  startedThen: number,
+  now: number,
+): void {
+  if (!unconfirmed) return;
+  const tokens = unconfirmed.capacity - (started - startedThen);
+  raiseTokens(unconfirmed, tokens, now);
+}
+
 /** Sets the limit that the upstream states, requests per second; undefined when
  * it states none. */
 export function setStatedRate(
@@ -158,20 +219,18 @@
 
 /** Buckets that limit the rate of requests now. */
 function listRates(limiter: ConcurrencyLimiter, now: number): TokenBucket[] {
-  const {coldRate, statedRate} = limiter;
-  const rates = isCold(limiter, now) ? [coldRate] : [];
-  return statedRate ? [...rates, statedRate] : rates;
+  const {coldRate, unconfirmed, statedRate} = limiter;
+  const rates = [isCold(limiter, now) ? coldRate : unconfirmed, statedRate];
+  return rates.filter(rate => rate !== undefined);
 }
 
 /** Time until the rates allow `tokens` more requests, ms. */
 function computeRateWaitMs(
-  limiter: ConcurrencyLimiter,
+  rates: readonly TokenBucket[],
   tokens: number,
   now: number,
 ): number {
-  const waits = listRates(limiter, now).map(rate =>
-    computeTokenWaitMs(rate, tokens, now),
-  );
+  const waits = rates.map(rate => computeTokenWaitMs(rate, tokens, now));
   return Math.max(0, ...waits);
 }
 
@@ -219,7 +278,11 @@
   now: number,
 ): number {
   const ahead = limiter.queue.filter(item => item.request.rank <= rank).length;
-  const rateMs = computeRateWaitMs(limiter, ahead + 1, now);
+  // The upstream is expected to say very soon that it is warm.
+  const rates = listRates(limiter, now).filter(
+    rate => rate !== limiter.unconfirmed,
+  );
+  const rateMs = computeRateWaitMs(rates, ahead + 1, now);
   const missing = Math.max(0, ahead + 1 - (limiter.slots - limiter.inFlight));
   const slotMs = (missing * limiter.meanMs) / limiter.slots;
   return Math.max(slotMs, rateMs);
@@ -284,7 +347,8 @@
   now: number,
 ): number | undefined {
   while (limiter.queue.length > 0 && limiter.inFlight < limiter.slots) {
-    const waitMs = computeRateWaitMs(limiter, 1, now);
+    const rates = listRates(limiter, now);
+    const waitMs = computeRateWaitMs(rates, 1, now);
     if (waitMs > 0) return waitMs;
     const {request, since} = limiter.queue.shift() as QueuedRequest;
     const late = now + predictRunMs(limiter, request.kind) > request.deadlineAt;
@@ -292,8 +356,9 @@
       request.refuse('deadlineTooShort', 0);
       continue;
     }
-    for (const rate of listRates(limiter, now)) takeToken(rate, now);
+    for (const rate of rates) takeToken(rate, now);
     limiter.inFlight++;
+    limiter.started++;
     request.start();
   }
   return undefined;
--- a/src/core/token_bucket.ts
+++ b/src/core/token_bucket.ts
@@ -34,6 +34,17 @@
   return missing === 0 ? 0 : (missing * 1_000) / bucket.perS;
 }
 
+/** Raises the number of tokens to at least `tokens`, up to the capacity. */
+export function raiseTokens(
+  bucket: TokenBucket,
+  tokens: number,
+  now: number,
+): void {
+  refillBucket(bucket, now);
+  const {capacity} = bucket;
+  bucket.tokens = Math.max(bucket.tokens, Math.min(capacity, tokens));
+}
+
 /** Removes all tokens. */
 export function emptyBucket(bucket: TokenBucket, now: number): void {
   bucket.tokens = 0;
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -44,6 +44,7 @@
   processQueue,
   startHealthCheck,
 } from './upstream_health.js';
+import {checkWarm} from './warm_check.js';
 
 /** Timeout for connecting to the local upstream, ms. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -88,6 +89,8 @@
     startedAt: 0,
     takenOut: false,
     initialCheckStarted: false,
+    isAskingWarm: false,
+    warmAskedAt: -Infinity,
   };
   return {
     submit: request => submitForward(state, request),
@@ -200,6 +203,7 @@
       recordLatency(board.metrics, 'owner_queue', startedAt - arrivedAt);
       call = startCall(state, request, deadlineAt);
       state.running.add(request);
+      checkWarm(state);
       void call.result.then(httpResult => {
         state.running.delete(request);
         let isReleased = false;
@@ -235,6 +239,7 @@
     refuse,
   };
   state.active++;
+  checkWarm(state);
   const outcome = checkArrival(board, request);
   if (outcome) refuse(outcome, getRetryMs(outcome));
   else admit(board.limiter, job, arrivedAt);
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -45,6 +45,10 @@
   takenOut: boolean;
   /** True once the first health check has been started. */
   initialCheckStarted: boolean;
+  /** True while a health check asks whether the upstream is still warm. */
+  isAskingWarm: boolean;
+  /** Monotonic time at which the last of these checks was sent, ms. */
+  warmAskedAt: number;
   queueTimer?: NodeJS.Timeout;
 }
 
@@ -130,7 +134,7 @@
 
 /** Sends one health check; returns the headers of its answer, if any. A check
  * that gets the answer to a request is repeated on another connection. */
-async function fetchHealth(
+export async function fetchHealth(
   state: OwnerState,
   retries = 1,
 ): Promise<IncomingHttpHeaders | undefined> {
@@ -163,17 +167,24 @@
   return result.kind === 'answer' ? result.answer.headers : undefined;
 }
 
+/** Reads how long the upstream stays cold by its health answer, ms; 0 if it is
+ * warm. */
+export function readColdMs(
+  {names}: SidecarBoard,
+  headers: IncomingHttpHeaders,
+): number {
+  const coldMs = Number(readHeader(headers, names.coldMs) ?? 0);
+  return Number.isFinite(coldMs)
+    ? Math.max(0, Math.min(coldMs, MAX_COLD_MS))
+    : 0;
+}
+
 function applyHealth(state: OwnerState, headers: IncomingHttpHeaders): void {
   const {board} = state;
   const now = board.now();
-  const coldMs = Number(readHeader(headers, board.names.coldMs) ?? 0);
   const own = findOwnUpstream(board);
   const listedColdMs = own ? own.coldUntil - now : 0;
-  const coldForMs = Math.max(
-    Number.isFinite(coldMs) ? Math.min(coldMs, MAX_COLD_MS) : 0,
-    listedColdMs,
-    0,
-  );
+  const coldForMs = Math.max(readColdMs(board, headers), listedColdMs);
   setCold(board.limiter, coldForMs, now);
   const wasDown = board.limiter.down;
   board.limiter.down = false;
--- /dev/null
+++ b/src/sidecar/warm_check.ts
@@ -0,0 +1,70 @@
+import {
+  FRESH_MS,
+  confirmWarm,
+  needsConfirmation,
+  setCold,
+  setUnconfirmed,
+} from '../internal.js';
+import type {SidecarBoard} from './board.js';
+import {
+  type OwnerState,
+  fetchHealth,
+  processQueue,
+  readColdMs,
+} from './upstream_health.js';
+
+/** Shortest time between two of these health checks, ms. */
+const ASK_PAUSE_MS = 50;
+
+/**
+ * Keeps the rate of a cold upstream while the store may not tell in time that it
+ * has turned cold: it gets only so many requests until it has said again that it
+ * is warm. Needs no message of the store or of another daemon. Call it before a
+ * request is admitted and after one has been started.
+ */
+export function checkWarm(state: OwnerState): void {
+  const {board, checking, stopped} = state;
+  const {limiter} = board;
+  const now = board.now();
+  const isFresh = isCopyFresh(board);
+  if (!isFresh) setUnconfirmed(limiter, true, now);
+  // The first answer after the copy has become fresh ends these checks.
+  const isDue = isFresh
+    ? limiter.unconfirmed !== undefined
+    : needsConfirmation(limiter, now);
+  if (!isDue || checking || stopped || state.isAskingWarm) return;
+  if (now < state.warmAskedAt + ASK_PAUSE_MS) return;
+  state.warmAskedAt = now;
+  state.isAskingWarm = true;
+  void askUpstream(state, isFresh).finally(() => {
+    state.isAskingWarm = false;
+    processQueue(state);
+  });
+}
+
+/** A copy that was never read counts as fresh: nothing is served by it. */
+function isCopyFresh({readMirrorAge}: SidecarBoard): boolean {
+  const ageMs = readMirrorAge();
+  return ageMs <= FRESH_MS || ageMs === Infinity;
+}
+
+/** Asks the upstream once whether it is cold. Without an answer nothing changes: it
+ * gets no more than the cold rate beyond what it may still get. */
+async function askUpstream(state: OwnerState, isLast: boolean): Promise<void> {
+  const {board} = state;
+  const {limiter, names} = board;
+  const startedThen = limiter.started;
+  const headers = await fetchHealth(state);
+  // A full upstream that refuses the check does not say whether it is cold.
+  if (!headers || headers[names.notRun] !== undefined) return;
+  const now = board.now();
+  const coldMs = readColdMs(board, headers);
+  if (coldMs > 0) {
+    // A restart that was noticed meanwhile counts as cold for longer.
+    setCold(limiter, Math.max(coldMs, limiter.coldUntil - now), now);
+    board.log.write('always', 'upstreamCold', {coldMs: Math.round(coldMs)});
+  } else {
+    confirmWarm(limiter, startedThen, now);
+  }
+  if (isLast) setUnconfirmed(limiter, false, now);
+}
