Add a kind of the soak for upstreams that turn cold unheard

unheardCold takes the store down, lets an upstream turn cold 2 s later without a record of it, and sends 50 reads a second to the daemon beside it meanwhile. Until now the soak sent a cold upstream too little to find one that is served at the full rate.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {ROUTE_TIMEOUT_MS, sendRequest} from './customers.js';
 import {
   BOUNDS,
   type Fault,
@@ -35,6 +36,48 @@
   return `${mode} for ${Math.round(ms)} ms`;
 }
 
+/** Time from the beginning of an outage until an upstream turns cold, ms; the copies
+ * of the daemons are old by then. */
+const UNHEARD_COLD_MS = 2_000;
+
+/** Interval of the requests to an upstream that turns cold unheard, ms. */
+const UNHEARD_REQUEST_MS = 20;
+
+/** Sends reads for the service of an upstream to the daemon beside it, until the
+ * returned function is called; it resolves once all are answered. */
+function startReads(
+  {checker, daemons, upstreams, faults, now}: Harness,
+  upstream: Upstream,
+): () => Promise<void> {
+  const daemon = daemons[upstreams.indexOf(upstream)];
+  const {service} = upstream;
+  const {incarnation} = daemon;
+  const fault = faults.length;
+  const inFlight: Promise<void>[] = [];
+  const timer = setInterval(() => {
+    const n = inFlight.length;
+    const sent = {
+      id: `c${fault}-${n}`,
+      path: `/read-${service}/${n}`,
+      body: '',
+    };
+    checker.recordSent(
+      {...sent, idempotent: true, caller: service},
+      ROUTE_TIMEOUT_MS,
+    );
+    const answered = sendRequest(daemon, false, sent).then(answer => {
+      const isRestarted = daemon.incarnation !== incarnation;
+      const isDisrupted = daemon.isDisrupted(now()) || isRestarted;
+      checker.recordAnswer(sent.id, answer, isDisrupted);
+    });
+    inFlight.push(answered);
+  }, UNHEARD_REQUEST_MS);
+  return async () => {
+    clearInterval(timer);
+    await Promise.all(inFlight);
+  };
+}
+
 function injectProxyFault(
   harness: Harness,
   index: number,
@@ -235,6 +278,25 @@
     if (target) restartUpstream(harness, target, 0, 2_000);
     return target?.name;
   },
+  unheardCold(harness) {
+    const target = pickUpstream(harness);
+    // An earlier outage would end during this one.
+    if (!target || harness.storeServer.mode !== 'sound') return undefined;
+    const {id} = target;
+    harness.storeServer.mode = 'down';
+    harness.disruptedUntil = Infinity;
+    restartingIds.add(id);
+    runRecovery(harness, async () => {
+      await delay(UNHEARD_COLD_MS);
+      const stopReads = startReads(harness, target);
+      await delay(target.turnCold());
+      harness.storeServer.mode = 'sound';
+      harness.disruptedUntil = harness.now();
+      await stopReads();
+      restartingIds.delete(id);
+    });
+    return target.name;
+  },
   drain(harness) {
     const target = pickUpstream(harness);
     if (target) restartUpstream(harness, target, BOUNDS.drainMs + 1_000, 200);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -45,7 +45,7 @@
   }
   failed++;
   const daemonNames = Array.from({length: daemons}, (_, i) => `d${i}`);
-  const requestId = /\b[rkp]\d+\b|\b(?:p-d|s)\d+-\d+\b/.exec(
+  const requestId = /\b[rkp]\d+\b|\b(?:p-d|[cs])\d+-\d+\b/.exec(
     violations[0],
   )?.[0];
   const logLines = requestId
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -88,6 +88,15 @@
     this.#publishRecord('ready', coldMs);
   }
 
+  /** Turns cold without an end and without a record of it; returns for how long,
+   * ms. */
+  turnCold(): number {
+    this.#coldUntil = this.now() + COLD_MS;
+    // The bound holds for a second in which it is cold.
+    this.#recentArrivals = [];
+    return COLD_MS;
+  }
+
   #publishRecord(state: 'ready' | 'draining', coldMs: number): void {
     this.store.put(`servers/${this.id}`, {
       addr: `${this.host}:${this.publishedPort}`,
