Do not take a refused health check for the word of a warm upstream

An upstream that is full refuses health checks as it does requests: 503 with X-Not-Run and without X-Cold-Ms. Such an answer ended the check and counted as 0 ms of cold time, so an upstream that had just restarted, or that a restarted owner found full, got the full rate though it might be cold.

Change: readColdMs says nothing for such an answer; the check is repeated, and the upstream counts as up meanwhile.

Evidence: cold_upstream "a refused health check does not say warm" failed before with coldUntil 2207 where Infinity was expected.

--- a/__tests__/cold_upstream.test.ts
+++ b/__tests__/cold_upstream.test.ts
@@ -12,6 +12,7 @@
 import {
   answerOk,
   startHarness,
+  until,
   type HarnessUpstream,
   type SidecarHarness,
 } from './support/sidecar_harness.js';
@@ -81,6 +82,30 @@
   t.true(busiest <= COLD_LIMIT, `${busiest} requests in one second`);
 });
 
+// A refusal of the health check counted as the word of a warm upstream: one that
+// had restarted, or that a restarted owner found full, got the full rate.
+test.serial('a refused health check does not say warm', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  own.health = {'x-not-run': '1'};
+  const before = own.checks.length;
+  harness.store.put('servers/u0', {
+    addr: `${own.host}:${own.port}`,
+    born: 2_000,
+    info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
+    status: {state: 'ready', sequence: 1, cold_left: '0ms'},
+  });
+  await until(() => board.list.byId.get('u0')?.startedAt === 2_000);
+  const isKnown = () => Number.isFinite(board.limiter.coldUntil);
+  await until(() => isKnown() || own.checks.length >= before + 2);
+  t.is(board.limiter.coldUntil, Infinity);
+  t.false(board.limiter.down);
+  own.health = {'x-cold-ms': '40000'};
+  await until(isKnown);
+  t.true(board.limiter.coldUntil > board.now() + 30_000);
+});
+
 // Health checks take time of the upstream and are charged for.
 test.serial('a warm upstream is asked once for several requests', async t => {
   const harness = await startHarness(t, ['dc1']);
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -114,13 +114,15 @@
   for (let checks = 0; checks < MAX_CHECKS && !state.stopped; checks++) {
     const sentAt = board.now();
     const headers = await fetchHealth(state);
-    if (headers) {
-      applyHealth(state, headers);
+    const coldMs = headers && readColdMs(board, headers);
+    if (headers && coldMs !== undefined) {
+      applyHealth(state, headers, coldMs);
       return;
     }
     // A busy upstream may drop the check and still answer requests.
     if (state.answeredAt >= sentAt && !isCold(board.limiter, sentAt)) break;
-    if (!board.limiter.down) {
+    if (headers) board.limiter.down = false;
+    else if (!board.limiter.down) {
       board.limiter.down = true;
       board.log.write('always', 'upstreamDown', {});
       refuseQueued(board.limiter, 'upstreamDown');
@@ -168,23 +170,32 @@
 }
 
 /** Reads how long the upstream stays cold by its health answer, ms; 0 if it is
- * warm. */
+ * warm, undefined if the answer does not say: a full upstream refuses health checks
+ * as it does requests. */
 export function readColdMs(
   {names}: SidecarBoard,
   headers: IncomingHttpHeaders,
-): number {
-  const coldMs = Number(readHeader(headers, names.coldMs) ?? 0);
+): number | undefined {
+  const text = readHeader(headers, names.coldMs);
+  if (text === undefined && headers[names.notRun] !== undefined) {
+    return undefined;
+  }
+  const coldMs = Number(text ?? 0);
   return Number.isFinite(coldMs)
     ? Math.max(0, Math.min(coldMs, MAX_COLD_MS))
     : 0;
 }
 
-function applyHealth(state: OwnerState, headers: IncomingHttpHeaders): void {
+function applyHealth(
+  state: OwnerState,
+  headers: IncomingHttpHeaders,
+  coldMs: number,
+): void {
   const {board} = state;
   const now = board.now();
   const own = findOwnUpstream(board);
   const listedColdMs = own ? own.coldUntil - now : 0;
-  const coldForMs = Math.max(readColdMs(board, headers), listedColdMs);
+  const coldForMs = Math.max(coldMs, listedColdMs);
   setCold(board.limiter, coldForMs, now);
   const wasDown = board.limiter.down;
   board.limiter.down = false;
--- a/src/sidecar/warm_check.ts
+++ b/src/sidecar/warm_check.ts
@@ -52,13 +52,12 @@
  * gets no more than the cold rate beyond what it may still get. */
 async function askUpstream(state: OwnerState, isLast: boolean): Promise<void> {
   const {board} = state;
-  const {limiter, names} = board;
+  const {limiter} = board;
   const startedThen = limiter.started;
   const headers = await fetchHealth(state);
-  // A full upstream that refuses the check does not say whether it is cold.
-  if (!headers || headers[names.notRun] !== undefined) return;
+  const coldMs = headers && readColdMs(board, headers);
+  if (coldMs === undefined) return;
   const now = board.now();
-  const coldMs = readColdMs(board, headers);
   if (coldMs > 0) {
     // A restart that was noticed meanwhile counts as cold for longer.
     setCold(limiter, Math.max(coldMs, limiter.coldUntil - now), now);
