Ask other daemons for known crashes after a restart

Cause: state that binds all daemons is held by each in memory only. Crash reports are sent once, to the daemons that run at that moment; one that starts later, or was paused or cut off, never hears of them.

--- a/__tests__/support/sidecar_harness.ts
+++ b/__tests__/support/sidecar_harness.ts
@@ -72,6 +72,11 @@
   ): Promise<string>;
   /** Starts another sidecar with the first one as its seed. */
   startAnother(dataCentre: string): Promise<Sidecar>;
+  /** Ends a sidecar at once; `restart` starts another in its place. */
+  kill(index: number): Promise<void>;
+  /** Ends a sidecar at once if it runs, starts it again and waits for its copy of
+   * the store. */
+  restart(index: number): Promise<Sidecar>;
 }
 
 /** Answers as a healthy upstream does. */
@@ -185,6 +190,7 @@
     listUpstream(id, host, port, dataCentres[i]);
   }
   const sidecars: Sidecar[] = [];
+  const endings = new Map<Sidecar, () => Promise<void>>();
   const startSidecarOn = async (
     id: string,
     dataCentre: string,
@@ -228,10 +234,12 @@
     // taken off the deadlines of requests.
     sidecar.board.lag.read = () => 0;
     const following = sidecar.follow(store);
-    t.teardown(async () => {
+    const end = async (): Promise<void> => {
       following.stop();
       await sidecar.close();
-    });
+    };
+    endings.set(sidecar, end);
+    t.teardown(end);
     return sidecar;
   };
   for (const [i, {host, port}] of upstreams.entries()) {
@@ -264,6 +272,23 @@
       const seeds = [`${hosts[0]}:${ports[3]}`];
       return startSidecarOn('late', dataCentre, host, ports[4], seeds);
     },
+    kill: async index => {
+      await endings.get(sidecars[index])?.();
+      endings.delete(sidecars[index]);
+    },
+    restart: async index => {
+      await harness.kill(index);
+      const {host, port} = upstreams[index];
+      sidecars[index] = await startSidecarOn(
+        `d${index}`,
+        dataCentres[index],
+        host,
+        port,
+        [],
+      );
+      await until(() => sidecars[index].board.table);
+      return sidecars[index];
+    },
     send: (index, options = {}) =>
       sendCustomerRequest(hosts[index], ports[0], options),
     readReady: async index => {
--- a/__tests__/suspects.test.ts
+++ b/__tests__/suspects.test.ts
@@ -16,6 +16,8 @@
   createSuspects,
   endIsolatedRun,
   handleCrash,
+  listSuspectRecords,
+  mergeSuspectRecords,
   classifyRequest,
   recordCrashes,
   recordFinished,
@@ -221,3 +223,110 @@
   for (let i = 0; i < MAX_FINISHED + 500; i++) recordFinished(state, `${i}`, i);
   t.is(state.finished.size, MAX_FINISHED);
 });
+
+/** A crash at a time, ms, of one of five upstreams. */
+const CRASH_ARBITRARY = fc.record({
+  at: fc.integer({min: 0, max: 1_500_000}),
+  upstream: fc.constantFrom('u1', 'u2', 'u3', 'u4', 'u5'),
+});
+
+function createCrashed(crashes: readonly {at: number; upstream: string}[]) {
+  const state = createSuspects();
+  for (const {at, upstream} of [...crashes].sort((a, b) => a.at - b.at)) {
+    recordCrashes(state, [crash(upstream)], at);
+  }
+  return state;
+}
+
+// A restarted daemon let requests through that all others refused, or would have
+// refused them for longer than they do.
+test('a daemon that is told the records decides like the teller', t => {
+  fc.assert(
+    fc.property(
+      fc.array(CRASH_ARBITRARY, {minLength: 1, maxLength: 12}),
+      fc.array(fc.integer({min: 0, max: 1_500_000}), {maxLength: 5}),
+      (crashes, laterMs) => {
+        const teller = createCrashed(crashes);
+        const now = Math.max(...crashes.map(({at}) => at)) + 1;
+        const told = createSuspects();
+        const records = listSuspectRecords(teller, now, 10);
+        mergeSuspectRecords(told, records, now);
+        for (const ms of [0, ...laterMs].sort((a, b) => a - b)) {
+          t.deepEqual(
+            classifyRequest(told, FP, now + ms),
+            classifyRequest(teller, FP, now + ms),
+          );
+        }
+      },
+    ),
+    {seed: 53, numRuns: 300},
+  );
+});
+
+test('records that are told again are no news', t => {
+  fc.assert(
+    fc.property(
+      fc.array(CRASH_ARBITRARY, {minLength: 1, maxLength: 12}),
+      fc.array(CRASH_ARBITRARY, {maxLength: 12}),
+      (crashes, others) => {
+        const teller = createCrashed(crashes);
+        const told = createCrashed(others);
+        const at = [...crashes, ...others].map(crash => crash.at);
+        const now = Math.max(...at) + 1;
+        const before = classifyRequest(told, FP, now);
+        const records = listSuspectRecords(teller, now, 10);
+        mergeSuspectRecords(told, records, now);
+        const after = classifyRequest(told, FP, now);
+        t.true(after.crashes >= before.crashes);
+        t.true(after.crashes >= classifyRequest(teller, FP, now).crashes);
+        t.true(after.retryAfterMs >= before.retryAfterMs);
+        t.deepEqual(mergeSuspectRecords(told, records, now), []);
+        t.deepEqual(classifyRequest(told, FP, now), after);
+      },
+    ),
+    {seed: 53, numRuns: 300},
+  );
+});
+
+test('crashes on both sides of a cut add up once it ends', t => {
+  const sides = [0, 3_000].map((at, i) => {
+    const state = createSuspects();
+    recordCrashes(state, [crash(`u${i}`)], at);
+    return state;
+  });
+  const [first, second] = sides.map(state => listSuspectRecords(state, 9e3, 9));
+  mergeSuspectRecords(sides[0], second, 9_000);
+  mergeSuspectRecords(sides[1], first, 9_000);
+  for (const state of sides) {
+    t.is(classifyRequest(state, FP, 9_000).action, 'refuse');
+    t.is(classifyRequest(state, FP, 9_000).crashes, 2);
+  }
+});
+
+test('a record of a request that has completed since is no news', t => {
+  const state = createSuspects();
+  const teller = createSuspects();
+  recordCrashes(teller, [crash('u1'), crash('u2', {ageMs: 5_000})], 20_000);
+  recordFinished(state, FP, 21_000);
+  const records = listSuspectRecords(teller, 22_000, 10);
+  t.is(records.length, 1);
+  t.deepEqual(mergeSuspectRecords(state, records, 22_000), []);
+  t.is(classifyRequest(state, FP, 22_000).action, 'send');
+});
+
+test('records that are told stay within the bounds', t => {
+  const teller = createSuspects();
+  const reports = Array.from({length: MAX_SUSPECTS}, (_, i) =>
+    crash('u1', {fingerprint: i.toString(16).padStart(32, '0')}),
+  );
+  recordCrashes(teller, reports, 0);
+  const records = listSuspectRecords(teller, 1, 100);
+  t.is(records.length, 100);
+  // The latest ones.
+  t.is(records[0].fingerprint, reports[MAX_SUSPECTS - 1].fingerprint);
+  const told = createSuspects();
+  mergeSuspectRecords(told, listSuspectRecords(teller, 1, Infinity), 1);
+  const more = {...records[0], fingerprint: 'f'.repeat(32)};
+  mergeSuspectRecords(told, [more], 1);
+  t.is(told.byFingerprint.size, MAX_SUSPECTS);
+});
--- a/src/core/suspects.ts
+++ b/src/core/suspects.ts
@@ -120,6 +120,100 @@
   return true;
 }
 
+/** What a daemon tells another one of a request that crashed upstreams. */
+export interface SuspectRecord {
+  readonly fingerprint: string;
+  /** Upstream of the latest crash. */
+  readonly upstream: string;
+  readonly crashes: number;
+  /** Time since the latest crash, ms. */
+  readonly ageMs: number;
+  /** Duration of the latest refusal, ms; 0 without one. */
+  readonly refusalMs: number;
+  /** Time until that refusal ends, ms; negative since its end. */
+  readonly refusalEndsInMs?: number;
+}
+
+/** Reads what is known of a request; undefined if it crashed no upstream. */
+export function readSuspectRecord(
+  state: Suspects,
+  fingerprint: string,
+  now: number,
+): SuspectRecord | undefined {
+  const suspect = findSuspect(state, fingerprint, now);
+  if (!suspect || suspect.crashes === 0) return undefined;
+  const {crashes, crashedAt, refusedUntil, refusalMs, upstreams} = suspect;
+  let [latest] = upstreams;
+  for (const item of upstreams) if (item[1].at > latest[1].at) latest = item;
+  const record = {
+    fingerprint,
+    upstream: latest[0],
+    crashes,
+    ageMs: Math.max(0, now - crashedAt),
+    refusalMs,
+  };
+  if (refusalMs === 0) return record;
+  return {...record, refusalEndsInMs: refusedUntil - now};
+}
+
+/** Lists what is known of requests that crashed upstreams, those that were held
+ * responsible last first. */
+export function listSuspectRecords(
+  state: Suspects,
+  now: number,
+  limit: number,
+): SuspectRecord[] {
+  const records: SuspectRecord[] = [];
+  for (const fingerprint of [...state.byFingerprint.keys()].reverse()) {
+    if (records.length >= limit) break;
+    const record = readSuspectRecord(state, fingerprint, now);
+    if (record) records.push(record);
+  }
+  return records;
+}
+
+/**
+ * Adopts what another daemon knows; returns the records that were news. The
+ * larger number of crashes and the later end of a refusal hold.
+ */
+export function mergeSuspectRecords(
+  state: Suspects,
+  records: readonly SuspectRecord[],
+  now: number,
+): SuspectRecord[] {
+  return records.filter(record => mergeRecord(state, record, now));
+}
+
+function mergeRecord(
+  state: Suspects,
+  record: SuspectRecord,
+  now: number,
+): boolean {
+  const {fingerprint, upstream, refusalMs, refusalEndsInMs} = record;
+  const at = now - record.ageMs;
+  const refusedUntil = now + (refusalEndsInMs ?? -Infinity);
+  if (now - Math.max(at, refusedUntil) > CRASH_MEMORY_MS) return false;
+  if (hasFinishedSince(state, fingerprint, at - FINISHED_MEMORY_MS)) {
+    return false;
+  }
+  const suspect = findOrCreate(state, fingerprint, now);
+  const isKnown = suspect.upstreams.has(upstream);
+  const isSeparate =
+    !isKnown &&
+    suspect.crashes > 0 &&
+    Math.abs(at - suspect.crashedAt) > SAME_CRASH_MS;
+  const counted = suspect.crashes + (isSeparate ? 1 : 0);
+  const isNews = counted > suspect.crashes || record.crashes > suspect.crashes;
+  if (!isKnown) recordUpstreamCrash(suspect, record, at);
+  suspect.crashedAt = Math.max(suspect.crashedAt, at);
+  suspect.refusedUntil = Math.max(suspect.refusedUntil, refusedUntil);
+  suspect.refusalMs = Math.max(suspect.refusalMs, refusalMs);
+  // A number that is taken over brings its refusal with it.
+  if (record.crashes >= counted) suspect.crashes = record.crashes;
+  else updateCrashCount(suspect, counted, now);
+  return isNews;
+}
+
 function updateCrashCount(
   suspect: Suspect,
   crashes: number,
@@ -134,7 +228,7 @@
 
 function recordUpstreamCrash(
   suspect: Suspect,
-  report: CrashReport,
+  report: Pick<CrashReport, 'upstream' | 'crashes'>,
   at: number,
 ): void {
   const {upstream, crashes} = report;
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -41,6 +41,7 @@
   createAnswerBudget,
 } from './answer_budget.js';
 import {type BodyBudget, createBodyBudget} from './body_budget.js';
+import {type CrashRecords, createCrashRecords} from './crash_records.js';
 import type {DecisionLog} from './decision_log.js';
 import type {HeadBudget} from '../daemon/customer_server.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
@@ -99,6 +100,7 @@
   readonly resends: ResendBudget;
   readonly splits: SplitState;
   readonly suspects: Suspects;
+  readonly crashRecords: CrashRecords;
   readonly limiter: ConcurrencyLimiter;
   readonly pacer: LinkPacer;
   /** Memory for answers of the local upstream and of other daemons, until they
@@ -162,6 +164,7 @@
     resends: createResendBudget(deps.settings.resends),
     splits: new Map(),
     suspects: createSuspects(),
+    crashRecords: createCrashRecords(),
     limiter: createLimiter(deps.now()),
     answers: createAnswerBudget(
       Math.floor(deps.settings.memoryMb * 1_048_576 * ANSWER_MEMORY_SHARE),
@@ -211,7 +214,8 @@
 export function isSidecarReady(board: SidecarBoard): boolean {
   const {stopping, table, list} = board;
   const informed = table !== undefined && list.complete && !isOverdue(board);
-  return informed && !stopping;
+  const hasRecords = board.crashRecords.starting === undefined;
+  return informed && hasRecords && !stopping;
 }
 
 /** Reads what the daemon knows of the age of its copy of the store. */
--- a/src/sidecar/entry.ts
+++ b/src/sidecar/entry.ts
@@ -89,6 +89,8 @@
   startDeadline(state, exchange);
   const {limits} = table.config;
   const body = await receiveBody(state, exchange, limits.bodyBytes);
+  // Otherwise the request might crash another upstream.
+  await board.crashRecords.starting;
   if (exchange.ended) return;
   if (typeof body === 'string') return finishRefused(state, exchange, body);
   // The body may have taken long; a request that starts now might be cut.
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -3,10 +3,11 @@
 import {readBody} from '../daemon/http.js';
 import {recordLatency} from '../daemon/metrics.js';
 import type {SidecarBoard} from './board.js';
+import {CRASH_PATH, formatCrashRecords} from './crash_records.js';
 import {
-  CRASH_PATH,
   crashReportsSchema,
   applyCrashReports,
+  formatKnownCrashes,
 } from './crash_reports.js';
 import {createBodyHold, readCountedBody} from './body_budget.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
@@ -141,7 +142,7 @@
 }
 
 /** Serves the requests of other daemons except forwarded ones: liveness
- * probes, state polls and crash reports. */
+ * probes, state polls, crash reports and the records of crashes. */
 export async function serveControl(
   board: SidecarBoard,
   owner: Owner,
@@ -157,10 +158,14 @@
     serveState(board, req, res);
     return;
   }
-  if (req.method !== 'POST' || req.url !== CRASH_PATH) {
+  if (req.url !== CRASH_PATH || !['GET', 'POST'].includes(req.method ?? '')) {
     res.writeHead(404).end();
     return;
   }
+  if (req.method === 'GET') {
+    sendJson(res, formatCrashRecords(board));
+    return;
+  }
   const body = await readBody(req);
   const parsed = crashReportsSchema.safeParse(
     JSON.parse(body?.toString() ?? 'null'),
@@ -170,5 +175,17 @@
     return;
   }
   applyCrashReports(board, parsed.data);
-  res.writeHead(204).end();
+  const known = formatKnownCrashes(board, parsed.data);
+  if (known === undefined) res.writeHead(204).end();
+  else sendJson(res, known);
+}
+
+function sendJson(res: ServerResponse, text: string): void {
+  const body = Buffer.from(text);
+  res
+    .writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': body.length,
+    })
+    .end(body);
 }
--- a/src/sidecar/peer_probe.ts
+++ b/src/sidecar/peer_probe.ts
@@ -76,7 +76,7 @@
     contact.open.add(openForward);
     void call.result.then(reply => {
       contact.open.delete(openForward);
-      if (reply.report) recordMessage(board, contact, reply.report);
+      if (reply.report) recordMessage(board, host, contact, reply.report);
       if (givenUp && reply.kind === 'answer') reply.answer.release();
       resolve(reply);
     });
@@ -86,12 +86,15 @@
 /** Records a message of a daemon; returns true when it was silent before. */
 function recordMessage(
   board: SidecarBoard,
+  host: string,
   contact: PeerContact,
   {storeLost}: LoadReport,
 ): boolean {
   board.peerHeardAt = board.now();
   if (storeLost) board.outageToldAt = board.peerHeardAt;
-  return markPeerSeen(contact, board.peerHeardAt);
+  const wasSilent = markPeerSeen(contact, board.peerHeardAt);
+  if (wasSilent) board.crashRecords.returned.add(host);
+  return wasSilent;
 }
 
 /** Creates the client for probes. */
@@ -169,7 +172,7 @@
   report: LoadReport,
 ): void {
   const now = board.now();
-  const wasSilent = recordMessage(board, contact, report);
+  const wasSilent = recordMessage(board, host, contact, report);
   for (const id of listUpstreamIds(board, host)) {
     if (wasSilent) readmitTarget(board.balance, id, report, now);
   }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -20,6 +20,7 @@
 import {recordLatency} from '../daemon/metrics.js';
 import {pruneAnnouncements} from './announcements.js';
 import {type SidecarBoard, createSidecarBoard, logCopyChange} from './board.js';
+import {refreshCrashRecords} from './crash_records.js';
 import {CRASH_REPORT_TIMEOUT_MS, createCrashReporter} from './crash_reports.js';
 import {type DecisionLog, createDecisionLog} from './decision_log.js';
 import {createSidecarEntry} from './entry.js';
@@ -157,6 +158,7 @@
     pruneContacts(board.contacts, new Set(listHosts(board.list)));
     owner.sync();
     applyTimeouts(customerServer, board);
+    refreshCrashRecords(board, crashClient);
     answerPendingPolls(board);
   };
   const servers = [
@@ -217,6 +219,7 @@
     recordLatency(board.metrics, 'loop_lag', board.lag.read());
     logCopyChange(board);
     probeQuietPeers(board, probeClient);
+    refreshCrashRecords(board, crashClient);
     for (const upstream of expireUpstreams(board.list, now())) {
       log.write('always', 'upstreamGone', {upstream, lapsed: true});
     }
