Keep to the limit of an upstream after its daemon restarts

Cause: only the owner held the limit. A new process learned it with the first answer, and had filled all slots by then; it did not read the limit in the answer to its first health check, nor did the entries keep it.

Change: the owner reads the limit in health checks. Entries remember the limit in the latest answer of each incarnation and hand it over with their requests; an owner that has had no answer since its start adopts it. The first answer confirms or ends it. A limit of another incarnation is neither handed over nor kept.

--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -35,6 +35,7 @@
   PROBE_BURST,
   findByAddress,
 } from '../internal.js';
+import type {StatedLimit} from './announcements.js';
 import {
   type AnswerBudget,
   type AnswerEvents,
@@ -113,6 +114,8 @@
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
   readonly announcedLeaving: Map<string, number>;
+  /** Limits in the latest answers that this entry got from upstreams, by id. */
+  readonly statedLimits: Map<string, StatedLimit>;
   /** State of the copy in the last log line about it. */
   loggedCopyState: CopyState;
   /** True once the process has been asked to stop. */
@@ -177,6 +180,7 @@
     heads: createHeadBudget(deps.settings.memoryMb * 1_048_576),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
+    statedLimits: new Map(),
     loggedCopyState: 'current',
     stopping: false,
     closed: false,
--- a/src/sidecar/forward.ts
+++ b/src/sidecar/forward.ts
@@ -18,6 +18,8 @@
   /** Time until the deadline, after which an answer is useless, ms. */
   readonly remainingMs: number;
   readonly fingerprint: string;
+  /** Limit that the upstream has stated to the entry, requests per second. */
+  readonly statedPerS?: number;
 }
 
 /**
--- a/src/sidecar/forward_attempt.ts
+++ b/src/sidecar/forward_attempt.ts
@@ -13,7 +13,12 @@
   spendResend,
 } from '../internal.js';
 import {recordLatency} from '../daemon/metrics.js';
-import {isLeaving, recordLeaving} from './announcements.js';
+import {
+  findStatedLimit,
+  isLeaving,
+  recordLeaving,
+  recordStatedLimit,
+} from './announcements.js';
 import {recordAnswerBytes} from './answer_budget.js';
 import type {SidecarBoard} from './board.js';
 import {type EntryState, type Exchange, MAX_FORWARDS} from './exchange.js';
@@ -116,6 +121,7 @@
     goalMs: goalAt - now,
     remainingMs: Math.min(deadlineAt, board.exitAt) - now,
     fingerprint: exchange.fingerprint,
+    statedPerS: findStatedLimit(board, upstream),
   };
   exchange.tried.add(upstream.id);
   exchange.forwards++;
@@ -167,6 +173,7 @@
       exchange.attempts++;
       recordRouteBytes(board, exchange, reply.answer);
       recordLeaving(board, upstream, reply.answer);
+      recordStatedLimit(board, upstream, reply.answer);
       if (
         reply.answer.status < 500 ||
         !claimResend(state, exchange, isolated)
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -10,6 +10,7 @@
   type ListedUpstream,
   type Outcome,
 } from '../internal.js';
+import {parseLimit} from './announcements.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {copyAnswerHeaders, copyRawHeaders, readHeader} from './header_copy.js';
 import type {HttpAnswer, HttpClient, HttpResult} from './http_client.js';
@@ -59,6 +60,7 @@
     goalMs: numbers[1] - lagMs,
     remainingMs: numbers[2] - lagMs,
     fingerprint,
+    statedPerS: parseLimit(readHeader(req.headers, HEADERS.limit)),
   };
 }
 
@@ -126,8 +128,9 @@
   request: ForwardRequest,
   now: number,
 ): ForwardCall {
-  const {method, target, body, route} = request;
+  const {method, target, body, route, statedPerS} = request;
   const headers = [...request.headers, HEADERS.terms, formatTerms(request)];
+  if (statedPerS !== undefined) headers.push(HEADERS.limit, String(statedPerS));
   const call = client.send(
     `http://${upstream.host}:${peerPort}`,
     {method, path: target, headers, body, route},
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -28,7 +28,7 @@
   WITHDRAWN,
   createHttpClient,
 } from './http_client.js';
-import {applyAnnouncements, isLeaving} from './announcements.js';
+import {adoptLimit, applyAnnouncements, isLeaving} from './announcements.js';
 import {
   MEMORY_RETRY_MS,
   classifyAnswer,
@@ -133,7 +133,10 @@
   if (own && own.startedAt !== state.startedAt) {
     const initial = state.startedAt === 0;
     state.startedAt = own.startedAt;
-    setStatedRate(limiter, undefined, now);
+    // At the start a limit may come from a health check of this incarnation.
+    if (!initial || state.checkedId !== own.id) {
+      setStatedRate(limiter, undefined, now);
+    }
     if (!initial) handleRestart(state);
   }
   if (own && own.coldUntil > now && !isCold(limiter, now)) {
@@ -237,7 +240,11 @@
   state.active++;
   const outcome = checkArrival(board, request);
   if (outcome) refuse(outcome, getRetryMs(outcome));
-  else admit(board.limiter, job, arrivedAt);
+  else {
+    // Since its start this process has heard of no limit, but entries have.
+    if (state.answeredAt === -Infinity) adoptLimit(board, request);
+    admit(board.limiter, job, arrivedAt);
+  }
   if (!settled && !call) {
     const waitMs = computeMaxWaitMs(
       board.limiter,
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -7,6 +7,7 @@
   startQueued,
   setCold,
 } from '../internal.js';
+import {applyHealthLimit} from './announcements.js';
 import {type SidecarBoard, findOwnUpstream} from './board.js';
 import type {ForwardRequest} from './forward.js';
 import {readHeader} from './header_copy.js';
@@ -41,6 +42,8 @@
   answeredAt: number;
   /** Start of the last listed incarnation, wall ms; 0 before the first. */
   startedAt: number;
+  /** Id in the latest answer to a health check. */
+  checkedId?: string;
   /** True while this data centre is taken out of service. */
   takenOut: boolean;
   /** True once the first health check has been started. */
@@ -175,12 +178,14 @@
     0,
   );
   setCold(board.limiter, coldForMs, now);
+  applyHealthLimit(board, headers);
+  state.checkedId = readHeader(headers, board.names.upstreamId);
   const wasDown = board.limiter.down;
   board.limiter.down = false;
   board.log.write('always', 'upstreamUp', {
     coldMs: Math.round(coldForMs),
     wasDown,
-    upstream: readHeader(headers, board.names.upstreamId),
+    upstream: state.checkedId,
   });
 }
 
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -18,6 +18,8 @@
   key: 'idempotency-key',
   /** Forwarding metadata between sidecars: upstream, route, rank, times. */
   terms: 'berylbend-terms',
+  /** Limit that an upstream has stated to an entry, requests per second. */
+  limit: 'berylbend-limit',
   /** Present when the end of the connection ended the upstream's response. */
   unframed: 'berylbend-unframed',
   /** Time after which a refused request may be retried, ms. */
