--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -35,12 +35,14 @@
   PROBE_BURST,
   findByAddress,
 } from '../internal.js';
+import type {StatedLimit} from './announcements.js';
 import {
   type AnswerBudget,
   type AnswerEvents,
   createAnswerBudget,
 } from './answer_budget.js';
 import {type BodyBudget, createBodyBudget} from './body_budget.js';
+import {type CrashRecords, createCrashRecords} from './crash_records.js';
 import type {DecisionLog} from './decision_log.js';
 import type {HeadBudget} from '../daemon/customer_server.js';
 import {createMetrics, type Metrics} from '../daemon/metrics.js';
@@ -99,6 +101,7 @@
   readonly resends: ResendBudget;
   readonly splits: SplitState;
   readonly suspects: Suspects;
+  readonly crashRecords: CrashRecords;
   readonly limiter: ConcurrencyLimiter;
   readonly pacer: LinkPacer;
   /** Memory for answers of the local upstream and of other daemons, until they
@@ -111,6 +114,8 @@
   /** Start times of the upstreams that have said that they are about to stop, by
    * id. */
   readonly announcedLeaving: Map<string, number>;
+  /** Limits in the latest answers that this entry got from upstreams, by id. */
+  readonly statedLimits: Map<string, StatedLimit>;
   /** State of the copy in the last log line about it. */
   loggedCopyState: CopyState;
   /** True once the process has been asked to stop. */
@@ -162,6 +167,7 @@
     resends: createResendBudget(deps.settings.resends),
     splits: new Map(),
     suspects: createSuspects(),
+    crashRecords: createCrashRecords(),
     limiter: createLimiter(deps.now()),
     answers: createAnswerBudget(
       Math.floor(deps.settings.memoryMb * 1_048_576 * ANSWER_MEMORY_SHARE),
@@ -174,6 +180,7 @@
     heads: createHeadBudget(deps.settings.memoryMb * 1_048_576),
     pacer: createLinkPacer(deps.settings.linkBytesPerS, deps.now()),
     announcedLeaving: new Map(),
+    statedLimits: new Map(),
     loggedCopyState: 'current',
     stopping: false,
     closed: false,
@@ -211,7 +218,8 @@
 export function isSidecarReady(board: SidecarBoard): boolean {
   const {stopping, table, list} = board;
   const informed = table !== undefined && list.complete && !isOverdue(board);
-  return informed && !stopping;
+  const hasRecords = board.crashRecords.starting === undefined;
+  return informed && hasRecords && !stopping;
 }
 
 /** Reads what the daemon knows of the age of its copy of the store. */
