State the length of each answer

Cause: the entry has read the whole body before it answers, and still sent it without a length when the upstream had stated none. The end of the connection then was the end of the body, and the kernel ends the connections of a killed process in order. The class: the end of this process claims what only the end of the upstream's answer may claim. The end of a planned stop and an error while an answer is written did the same. Between daemons answers have always had a length (test of an owner that ends within an answer: passed before, too).

Change: each body goes on with its length, for HTTP/1.0 as well; the mark `berylbend-unframed` between daemons and `framed` are gone, and the connection of the customer stays open.

A booking behind an answer without a length now runs and is answered.

--- a/__tests__/kept_connections.test.ts
+++ b/__tests__/kept_connections.test.ts
@@ -130,9 +130,9 @@
   await stopped;
 });
 
-// An answer without a length closes its connection; a booking behind it ran and
-// got no answer.
-test.serial('nothing runs behind an answer that closes', async t => {
+// An upstream's answer without a length closed the connection of the customer too; a
+// booking behind it ran and got no answer, and later was dropped with it.
+test.serial('an answer without a length keeps its connection', async t => {
   const {upstream, open} = await startDaemon(t);
   upstream.handle = (req, res) => {
     res.useChunkedEncodingByDefault = false;
@@ -145,12 +145,47 @@
   const received = collect(socket);
   const book = formatRequest('b', 'POST /slow/2', POST_LINES);
   socket.write(formatRequest('a') + book);
+  await until(() => received.text.split('hello').length === 3);
+  t.deepEqual(listAnswers(received.text), ['200 a', '200 b']);
+  t.deepEqual(upstream.runs, ['a', 'b']);
+});
+
+// A booking behind an answer that closes its connection ran and got no answer. Here
+// the customer has asked for the close.
+test.serial('nothing runs behind an answer that closes', async t => {
+  const {upstream, answer, open} = await startDaemon(t);
+  const socket = await open();
+  const received = collect(socket);
+  const first = formatRequest('a', 'GET /slow/1', [
+    'connection: close',
+    '',
+    '',
+  ]);
+  const book = formatRequest('b', 'POST /slow/2', POST_LINES);
+  socket.write(first + book);
+  await answer('a');
   await received.ended;
   t.deepEqual(listAnswers(received.text), ['200 a close']);
   await new Promise(resolve => setTimeout(resolve, 100));
   t.deepEqual(upstream.runs, ['a']);
 });
 
+// A booking behind an answer that is broken off ran and got no answer.
+test.serial('nothing runs behind an answer that is dropped', async t => {
+  const {sidecar, upstream, answer, open} = await startDaemon(t);
+  const {waiting} = sidecar.board.answers;
+  const socket = await open();
+  socket.on('error', () => {});
+  const book = formatRequest('b', 'POST /slow/2', POST_LINES);
+  socket.write(formatRequest('a') + book);
+  await answer('a', 'x'.repeat(LARGE_BYTES));
+  await until(() => waiting.size === 1);
+  for (const item of waiting) item.drop();
+  await until(() => sidecar.board.counters.get('entry_connections_cut'));
+  await new Promise(resolve => setTimeout(resolve, 100));
+  t.deepEqual(upstream.runs, ['a']);
+});
+
 // Node reports a request before it counts as read whole, so each refusal without
 // a wait closed its connection, and what followed was dropped.
 test.serial('a refusal keeps the connection of a whole request', async t => {
--- a/src/sidecar/answer_writer.ts
+++ b/src/sidecar/answer_writer.ts
@@ -36,7 +36,7 @@
     deadlineAt,
     openWrites: 0,
     progressAt: 0,
-    // Only a reset shows that an answer without a length is not complete.
+    // A reset also frees what the kernel holds of it.
     drop: () => {
       res.req.socket.resetAndDestroy();
       close();
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -66,17 +66,15 @@
   // The error answer of an earlier attempt is not needed any more.
   if (exchange.errorAnswer !== answer) exchange.errorAnswer?.release();
   exchange.errorAnswer = undefined;
-  const {status, headers, body, framed} = answer;
+  const {status, headers, body} = answer;
   const {req, res} = exchange;
   // Also when the head can't be written.
   res.once('close', answer.release);
   const copy = copyAnswerHeaders(headers);
   const bodiless = req.method === 'HEAD' || status === 204 || status === 304;
-  if (!framed) {
-    // The end of the connection marks the end of the body here too.
-    copy.connection = 'close';
-    res.useChunkedEncodingByDefault = false;
-  } else if (!bodiless) copy['content-length'] = String(body.length);
+  // Also when the upstream stated none: the end of this process looks like the end
+  // of a body without a length.
+  if (!bodiless) copy['content-length'] = String(body.length);
   else if (headers['content-length'] !== undefined) {
     copy['content-length'] = headers['content-length'];
   }
--- a/src/sidecar/forward_http.ts
+++ b/src/sidecar/forward_http.ts
@@ -85,7 +85,6 @@
       } else if (status !== 204 && status !== 304) {
         copy['content-length'] = String(body.length);
       }
-      if (!reply.answer.framed) copy[HEADERS.unframed] = '1';
       res.writeHead(status, {...copy, ...load});
       endBody(reply.answer);
       return;
@@ -148,10 +147,7 @@
   const verdict = readHeader(headers, HEADERS.verdict);
   if (verdict === undefined) {
     // Owners report their load in every reply; others are not from an owner.
-    if (report) {
-      const framed = headers[HEADERS.unframed] === undefined;
-      return {kind: 'answer', answer: {...answer, framed}, report, heldMs};
-    }
+    if (report) return {kind: 'answer', answer, report, heldMs};
     answer.release();
     return {kind: 'broken', outcome: 'crossedAnswer', code: 'NO_REPORT'};
   }
--- a/src/sidecar/http_client.ts
+++ b/src/sidecar/http_client.ts
@@ -57,14 +57,10 @@
 /** Code of a call that got the answer to another request. */
 export const CROSSED_ANSWER = 'CROSSED_ANSWER';
 
-/** Complete answer. */
+/** Complete answer. One without a length is complete when its connection ended in
+ * order. */
 export interface HttpAnswer extends AnswerHead {
   readonly body: Buffer;
-  /**
-   * False when only the end of the connection marks the end of the body: it may
-   * be truncated, and must not be forwarded with a length.
-   */
-  readonly framed: boolean;
   /** Releases the memory that the answer counts for. */
   readonly release: () => void;
 }
@@ -198,9 +194,6 @@
     });
 }
 
-/** Statuses of answers that end with their head. */
-const BODILESS_STATUSES = new Set([204, 304]);
-
 const CANCELLED = new Error('request was cancelled');
 
 /** Raised when a request would be written to a second connection. */
@@ -309,12 +302,8 @@
     const body = this.#chunks.take();
     const status = this.#status;
     const headers = this.#headers;
-    const framed =
-      BODILESS_STATUSES.has(status) ||
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
     const release = this.#keep();
-    const answer = {status, headers, body, framed, release};
+    const answer = {status, headers, body, release};
     this.#end({kind: 'answer', answer});
   }
 
--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -18,8 +18,6 @@
   key: 'idempotency-key',
   /** Forwarding metadata between sidecars: upstream, route, rank, times. */
   terms: 'berylbend-terms',
-  /** Present when the end of the connection ended the upstream's response. */
-  unframed: 'berylbend-unframed',
   /** Time after which a refused request may be retried, ms. */
   retryMs: 'berylbend-retry-ms',
   /** Time since a daemon's copy of the store was known to be current, ms. */
