--- a/src/types/headers.ts
+++ b/src/types/headers.ts
@@ -20,8 +20,6 @@
   terms: 'berylbend-terms',
   /** Limit that an upstream has stated to an entry, requests per second. */
   limit: 'berylbend-limit',
-  /** Present when the end of the connection ended the upstream's response. */
-  unframed: 'berylbend-unframed',
   /** Time after which a refused request may be retried, ms. */
   retryMs: 'berylbend-retry-ms',
   /** Time since a daemon's copy of the store was known to be current, ms. */
