Refuse a head below a raised limit so that it can be sent again

Node's parser keeps the limit that the server had when the connection was opened.

The daemon remembers that limit for each connection. Above it, and while a higher one is in force, it answers 503 and closes the connection; a new one accepts the head.

--- a/__tests__/head_memory.test.ts
+++ b/__tests__/head_memory.test.ts
@@ -167,3 +167,31 @@
   });
   t.true(refused() < 500);
 });
+
+// The parser of a connection keeps the limit of the time at which it was opened.
+// A head that a raised limit allows got 431 there, which is not sent again.
+test.serial('a head below a raised limit may be sent again', async t => {
+  const {harness, board, open} = await start(t);
+  harness.upstreams[0].handle = answerOk;
+  const {socket, read} = await open();
+  socket.write(formatRequest('q1'));
+  await until(() => read().endsWith('hello'));
+  const kept = read().length;
+  harness.publish({
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 10_000,
+      header_timeout: '3000ms',
+      idle_timeout: '5000ms',
+    },
+  });
+  await until(() => board.table?.config.limits.headerBytes === 16_384);
+  const head = formatRequest('q2').replace(/y+/, 'y'.repeat(8_000));
+  socket.write(head);
+  await until(() => read().length > kept);
+  t.regex(read().slice(kept), /^HTTP\/1.1 503 /);
+  const next = await open();
+  next.socket.write(head);
+  await until(next.read);
+  t.regex(next.read(), /^HTTP\/1.1 200 /);
+});
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -34,6 +34,10 @@
 /** Largest time that a gauge shows, ms. */
 const MAX_GAUGE_MS = 3_600_000;
 
+/** Code of the error for a head above the limit at the start of its connection and
+ * below the one in force. */
+const HEAD_LIMIT_RAISED = 'HEAD_LIMIT_RAISED';
+
 /** Interval of the check for connections whose headers are overdue, ms. */
 const HEADER_CHECK_MS = 500;
 
@@ -52,11 +56,22 @@
     connectionsCheckingInterval: HEADER_CHECK_MS,
     requestTimeout: 0,
   });
+  const parserLimits = new WeakMap<Duplex, number>();
+  server.on('connection', socket => {
+    parserLimits.set(socket, readParserLimit(board));
+  });
   const connections = serveCustomers(server, {
     handle: entry,
-    answerError(err, socket) {
-      const isFull = 'code' in err && err.code === HEADS_FULL;
+    answerError(err: NodeJS.ErrnoException, socket) {
+      const {code} = err;
+      const isFull = code === HEADS_FULL;
       count(board, isFull ? 'entry_refused_head_memory' : 'entry_bad_http');
+      // The limit may have been raised since the connection was opened; a new
+      // connection accepts the head then.
+      const limitBytes = parserLimits.get(socket) ?? 0;
+      const isRaised =
+        code === 'HPE_HEADER_OVERFLOW' && limitBytes < readParserLimit(board);
+      if (isRaised) Object.assign(err, {code: HEAD_LIMIT_RAISED});
       answerClientError(err, socket);
     },
     onCut: requests => logCut(board, requests),
@@ -103,20 +118,23 @@
   });
 }
 
+/** Limit of a head at the HTTP parser of a new connection, bytes. */
+function readParserLimit({table}: SidecarBoard): number {
+  if (!table) return MAX_HEADER_BYTES;
+  const {headerBytes} = table.config.limits;
+  return Math.min(MAX_HEADER_BYTES, headerBytes + HEADER_MARGIN_BYTES);
+}
+
 /** Applies the configured timeouts and the limit of a head to a server. */
-export function applyLimits(server: Server, {table}: SidecarBoard): void {
+export function applyLimits(server: Server, board: SidecarBoard): void {
+  const {table} = board;
   if (!table) return;
-  const {idleTimeoutMs, headerTimeoutMs, headerBytes} = table.config.limits;
+  const {idleTimeoutMs, headerTimeoutMs} = table.config.limits;
   server.keepAliveTimeout = idleTimeoutMs;
   server.headersTimeout = headerTimeoutMs;
   // Node documents this as an option of `createServer` only, and reads the
   // property at each new connection.
-  Object.assign(server, {
-    maxHeaderSize: Math.min(
-      MAX_HEADER_BYTES,
-      headerBytes + HEADER_MARGIN_BYTES,
-    ),
-  });
+  Object.assign(server, {maxHeaderSize: readParserLimit(board)});
 }
 
 /** Creates the server of the readiness check. */
@@ -199,6 +217,7 @@
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   [HEADERS_OVERDUE]: '408 Request Timeout',
   [HEADS_FULL]: '503 Service Unavailable',
+  [HEAD_LIMIT_RAISED]: '503 Service Unavailable',
 };
 
 /** Answers a malformed or incomplete request and closes its connection. */
