Compare the soak's Node flags with those of the deploy file

soak/program.ts repeats the flags of the start command, and nothing noticed when one of them was changed: the soak would have checked FAULT and memory of a program with another heap limit than the deployed one. The test compares the whole command, so a flag ahead of the others counts too.

--- a/__tests__/bundle.test.ts
+++ b/__tests__/bundle.test.ts
@@ -4,6 +4,7 @@
 import {join} from 'node:path';
 import test, {type ExecutionContext} from 'ava';
 import {createDaemonSettings} from '../soak/daemons.js';
+import {NODE_FLAGS} from '../soak/program.js';
 import {
   type DaemonProcess,
   createDirectory,
@@ -44,6 +45,13 @@
   t.regex(run(...flags, 'target/main.cjs', 'check', file), /valid; d0 in z1/);
 });
 
+// A soak under other flags would test another heap limit than the deployed one.
+test('the soak starts daemons with the flags of the deploy file', t => {
+  const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const command = /^run = "(.*)"$/m.exec(text)?.[1];
+  t.is(command, `node ${NODE_FLAGS} target/main.cjs`);
+});
+
 /** Files whose reading marks two moments of a start. */
 const READ_FILES = {
   'loads its bundle': 'berylbend.cjs',
