Soak: answers with repeated headers before a silent attempt (repeatedHeaders)

For 2 s the upstreams of a service answer 3 in 10 requests so, and never answer the second attempt of such a request. An upstream of the soak can be given another answer for this.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -11,6 +11,7 @@
   runRecovery,
   stopDaemon,
 } from './harness.js';
+import {LOAD_FAULTS} from './load_faults.js';
 import type {FaultProxy, ProxyMode} from './proxy.js';
 import {slowReaders} from './slow_readers.js';
 import {START_FAULTS} from './start_faults.js';
@@ -102,6 +103,7 @@
 /** Faults by kind. */
 export const FAULTS: Record<string, Fault> = {
   ...START_FAULTS,
+  ...LOAD_FAULTS,
   slowReaders,
   term(harness) {
     const {daemons, random} = harness;
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -44,6 +44,8 @@
 export class Upstream {
   losesAnswers = false;
   spoils?: Spoiling;
+  /** Answers a request in its place, or never; false leaves the request to it. */
+  respond?: (id: string, res: ServerResponse) => boolean;
   id = '';
   /** Requests that it works on, also once nobody waits for the answer. */
   readonly atWork = new Set<string>();
@@ -147,6 +149,7 @@
       return void res.writeHead(503, {'x-not-run': '1'}).end();
     }
     this.#checkArrival(id, req, body);
+    if (this.respond?.(id, res)) return;
     this.#running++;
     this.atWork.add(id);
     const spoiling = this.random() < SPOILED_SHARE ? this.spoils : undefined;
