Soak: bodies that other daemons forward to one owner (forwardedBodies)

The soak sends 27 bodies of 8 MB to one daemon in the form of other daemons, whose own limits on bodies would let too few of them pass. The last byte is missing for 2 s, so that all are held at once and none runs; then they are given up.

--- a/soak/load_faults.ts
+++ b/soak/load_faults.ts
@@ -1,5 +1,13 @@
+import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Fault, pickFrom, runRecovery} from './harness.js';
+import {HEADERS} from '../src/internal.js';
+import {type Daemon, PORTS} from './daemons.js';
+import {
+  type Fault,
+  pickFrom,
+  pickRunningDaemon,
+  runRecovery,
+} from './harness.js';
 
 /** Time for which upstreams answer with repeated headers, ms. */
 const REPEATED_HEADERS_MS = 2_000;
@@ -7,6 +15,22 @@
 /** Share of the requests that are answered so meanwhile. */
 const REPEATED_HEADERS_SHARE = 0.3;
 
+/** Bodies that other daemons forward to one owner at once; together more than the
+ * memory of a daemon. */
+const FORWARDED_BODIES = 27;
+const FORWARDED_BODY_BYTES = 8_000_000;
+
+/** Time for which the last byte of each of them is missing, ms. */
+const FORWARD_STALL_MS = 2_000;
+
+function openConnection({host}: Daemon, port: number): Socket {
+  const socket = connect(port, host);
+  // The daemon may end or refuse the request and close.
+  socket.on('error', () => {});
+  socket.resume();
+  return socket;
+}
+
 /** Faults by what customers, upstreams and other daemons send (issue 52), by
  * kind. */
 export const LOAD_FAULTS: Record<string, Fault> = {
@@ -32,4 +56,27 @@
     });
     return `service ${service}`;
   },
+  forwardedBodies(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    const upstream = harness.upstreams[harness.daemons.indexOf(daemon)];
+    const part = Buffer.alloc(FORWARDED_BODY_BYTES - 1, 'x');
+    const sockets = Array.from({length: FORWARDED_BODIES}, (_, i) => {
+      const socket = openConnection(daemon, PORTS.peer);
+      const lines = [
+        `POST /large-${upstream.service}/${i} HTTP/1.1`,
+        'host: shop.example',
+        `${HEADERS.terms}: ${upstream.id},large-${upstream.service},0,4000,8000,f`,
+        `content-length: ${FORWARDED_BODY_BYTES}`,
+      ];
+      socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+      socket.write(part);
+      return socket;
+    });
+    runRecovery(harness, async () => {
+      await delay(FORWARD_STALL_MS);
+      for (const socket of sockets) socket.destroy();
+    });
+    return `${FORWARDED_BODIES} bodies to ${daemon.name}`;
+  },
 };
