Soak: customers that stop inside a body (stalledBodies)

50 customers send bodies of 900 kB, together more than the memory for bodies, without the last byte and with a deadline of 800 ms. Each must get an answer or a close within 10 s; else the daemon is reported (FAULT, held bodies that stop).

--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -179,8 +179,11 @@
     this.#report('FAULT', `${daemon} ended by itself with ${cause}`);
   }
 
-  /** Reports a daemon that does not start or does not stop. */
-  reportStuck(daemon: string, failure: 'did not start' | 'did not stop'): void {
+  /** Reports a daemon that does not start, stop or release memory. */
+  reportStuck(
+    daemon: string,
+    failure: 'did not start' | 'did not stop' | 'held bodies that stop',
+  ): void {
     this.#report('FAULT', `${daemon} ${failure}`);
   }
 
--- a/soak/load_faults.ts
+++ b/soak/load_faults.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {HEADERS} from '../src/internal.js';
@@ -23,6 +24,16 @@
 /** Time for which the last byte of each of them is missing, ms. */
 const FORWARD_STALL_MS = 2_000;
 
+/** Customers that stop before the last byte of their bodies; together more than
+ * the memory that a daemon has for bodies. */
+const STALLED_BODIES = 50;
+const STALLED_BODY_BYTES = 900_000;
+
+/** Deadline of these requests, ms, and the time after which one without an answer
+ * is a fault; a busy machine is late. */
+const STALLED_DEADLINE_MS = 800;
+const STALLED_LIMIT_MS = 10_000;
+
 function openConnection({host}: Daemon, port: number): Socket {
   const socket = connect(port, host);
   // The daemon may end or refuse the request and close.
@@ -79,4 +90,34 @@
     });
     return `${FORWARDED_BODIES} bodies to ${daemon.name}`;
   },
+  stalledBodies(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    const part = Buffer.alloc(STALLED_BODY_BYTES - 1, 'x');
+    const head = [
+      'POST /large-a/1 HTTP/1.1',
+      'host: shop.example',
+      `x-request-id: s${harness.faults.length}-0`,
+      `x-deadline-ms: ${STALLED_DEADLINE_MS}`,
+      `content-length: ${STALLED_BODY_BYTES}`,
+    ].join('\r\n');
+    const sockets = Array.from({length: STALLED_BODIES}, () => {
+      const socket = openConnection(daemon, PORTS.customer);
+      socket.write(`${head}\r\n\r\n`);
+      socket.write(part);
+      return socket;
+    });
+    const ends = sockets.map(socket => {
+      const isAnswered = once(socket, 'data');
+      return Promise.race([isAnswered, once(socket, 'close')]);
+    });
+    runRecovery(harness, async () => {
+      const limit = delay(STALLED_LIMIT_MS, 'held', {ref: false});
+      const result = await Promise.race([Promise.all(ends), limit]);
+      for (const socket of sockets) socket.destroy();
+      if (result !== 'held') return;
+      harness.checker.reportStuck(daemon.name, 'held bodies that stop');
+    });
+    return `${STALLED_BODIES} bodies to ${daemon.name}`;
+  },
 };
