Soak: pipelined heads of many short lines (pipelinedHeads)

70 connections send 31 heads of 15 kB each, in lines of 20 bytes, for requests that the upstreams do not answer for 5 s. The daemon counts as disrupted meanwhile: parsing takes seconds on a busy machine, and customers of the soak go after 2 s of silence.

--- a/soak/load_faults.ts
+++ b/soak/load_faults.ts
@@ -5,6 +5,8 @@
 import {type Daemon, PORTS} from './daemons.js';
 import {
   type Fault,
+  type Harness,
+  LARGE_ROUTE,
   pickFrom,
   pickRunningDaemon,
   runRecovery,
@@ -34,6 +36,21 @@
 const STALLED_DEADLINE_MS = 800;
 const STALLED_LIMIT_MS = 10_000;
 
+/** Connections with pipelined heads of many short lines, just below the limit of
+ * a head; together more than the heap of a daemon. */
+const HEAD_CONNECTIONS = 70;
+const HEADS_PER_CONNECTION = 31;
+const HEAD_LINES = 750;
+
+/** Time for which the upstreams do not answer these requests, ms. */
+const HEAD_STALL_MS = 5_000;
+
+/** Records that a daemon may be late for its other customers, who then go: it
+ * parses for seconds on a busy machine. */
+function markBusy({now}: Harness, daemon: Daemon, ms: number): void {
+  daemon.disruptedAt = now() + ms;
+}
+
 function openConnection({host}: Daemon, port: number): Socket {
   const socket = connect(port, host);
   // The daemon may end or refuse the request and close.
@@ -120,4 +137,43 @@
     });
     return `${STALLED_BODIES} bodies to ${daemon.name}`;
   },
+  pipelinedHeads(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    const {upstreams, checker} = harness;
+    if (upstreams.some(({respond}) => respond)) return undefined;
+    markBusy(harness, daemon, HEAD_STALL_MS);
+    const prefix = `h${harness.faults.length}-`;
+    for (const upstream of upstreams) {
+      upstream.respond = id => id.startsWith(prefix);
+    }
+    const caller = upstreams[harness.daemons.indexOf(daemon)].service;
+    const lines = Array.from(
+      {length: HEAD_LINES},
+      (_, i) => `h${i}: ${'x'.repeat(12)}`,
+    );
+    const sockets = Array.from({length: HEAD_CONNECTIONS}, (_, c) => {
+      const socket = openConnection(daemon, PORTS.customer);
+      for (let i = 0; i < HEADS_PER_CONNECTION; i++) {
+        const id = `${prefix}${c * HEADS_PER_CONNECTION + i}`;
+        const path = `/large-a/${id}`;
+        const sent = {id, path, body: '', idempotent: true, caller};
+        checker.recordSent(sent, LARGE_ROUTE.timeoutMs);
+        const head = [
+          `GET ${path} HTTP/1.1`,
+          'host: shop.example',
+          `x-request-id: ${id}`,
+          ...lines,
+        ];
+        socket.write(`${head.join('\r\n')}\r\n\r\n`);
+      }
+      return socket;
+    });
+    runRecovery(harness, async () => {
+      await delay(HEAD_STALL_MS);
+      for (const socket of sockets) socket.destroy();
+      for (const upstream of upstreams) upstream.respond = undefined;
+    });
+    return `${HEAD_CONNECTIONS} connections to ${daemon.name}`;
+  },
 };
