Soak: a body in chunks of one byte (smallChunks)

One customer sends 900,000 chunks of one byte, does not end the body and goes after 5 s.

The daemon counts as disrupted since then, as with pipelinedHeads.

--- a/soak/load_faults.ts
+++ b/soak/load_faults.ts
@@ -45,6 +45,12 @@
 /** Time for which the upstreams do not answer these requests, ms. */
 const HEAD_STALL_MS = 5_000;
 
+/** Chunks of one byte in a body. */
+const CHUNKS = 900_000;
+
+/** Time for which the body does not end, ms. */
+const CHUNK_STALL_MS = 5_000;
+
 /** Records that a daemon may be late for its other customers, who then go: it
  * parses for seconds on a busy machine. */
 function markBusy({now}: Harness, daemon: Daemon, ms: number): void {
@@ -176,4 +182,24 @@
     });
     return `${HEAD_CONNECTIONS} connections to ${daemon.name}`;
   },
+  smallChunks(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    markBusy(harness, daemon, CHUNK_STALL_MS);
+    const chunks = Buffer.from('1\r\nx\r\n'.repeat(CHUNKS));
+    const head = [
+      'POST /large-a/1 HTTP/1.1',
+      'host: shop.example',
+      `x-request-id: s${harness.faults.length}-0`,
+      'transfer-encoding: chunked',
+    ].join('\r\n');
+    const socket = openConnection(daemon, PORTS.customer);
+    socket.write(`${head}\r\n\r\n`);
+    socket.write(chunks);
+    runRecovery(harness, async () => {
+      await delay(CHUNK_STALL_MS);
+      socket.destroy();
+    });
+    return daemon.name;
+  },
 };
