Soak: a daemon without free descriptors (fewDescriptors)

The soak lowers the limit of a running daemon to ten more than it has open (prlimit, its own child), opens 60 idle connections to it, and takes both back after 3 s.

--- a/soak/load_faults.ts
+++ b/soak/load_faults.ts
@@ -1,4 +1,6 @@
+import {spawnSync} from 'node:child_process';
 import {once} from 'node:events';
+import {readdirSync, readFileSync} from 'node:fs';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {HEADERS} from '../src/internal.js';
@@ -51,8 +53,25 @@
 /** Time for which the body does not end, ms. */
 const CHUNK_STALL_MS = 5_000;
 
+/** Descriptors that a daemon has left, idle connections that take them, and the
+ * time until they go, ms. */
+const FREE_DESCRIPTORS = 10;
+const IDLE_CONNECTIONS = 60;
+const IDLE_MS = 3_000;
+
+/** Returns the limit of the open descriptors of a process. */
+function readDescriptorLimit(pid: number): number {
+  const limits = readFileSync(`/proc/${pid}/limits`, 'utf8');
+  return Number(/^Max open files +(\d+)/m.exec(limits)?.[1]);
+}
+
+/** Changes that limit. */
+function limitDescriptors(pid: number, limit: number): void {
+  spawnSync('prlimit', ['--pid', String(pid), `--nofile=${limit}:`]);
+}
+
 /** Records that a daemon may be late for its other customers, who then go: it
- * parses for seconds on a busy machine. */
+ * parses for seconds on a busy machine, or has no descriptor for them. */
 function markBusy({now}: Harness, daemon: Daemon, ms: number): void {
   daemon.disruptedAt = now() + ms;
 }
@@ -202,4 +221,22 @@
     });
     return daemon.name;
   },
+  fewDescriptors(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (daemon?.pid === undefined) return undefined;
+    const {pid, incarnation} = daemon;
+    const limit = readDescriptorLimit(pid);
+    const used = readdirSync(`/proc/${pid}/fd`).length;
+    limitDescriptors(pid, used + FREE_DESCRIPTORS);
+    const sockets = Array.from({length: IDLE_CONNECTIONS}, () =>
+      openConnection(daemon, PORTS.customer),
+    );
+    markBusy(harness, daemon, IDLE_MS);
+    runRecovery(harness, async () => {
+      await delay(IDLE_MS);
+      for (const socket of sockets) socket.destroy();
+      if (daemon.incarnation === incarnation) limitDescriptors(pid, limit);
+    });
+    return `${daemon.name} at ${used + FREE_DESCRIPTORS}`;
+  },
 };
