Take the time in which a forwarded body arrives off its deadline

An owner counted the rest of a request's time from the end of its body, while the entry counts from before it was sent. With a body that arrived slowly the upstream was told a deadline that the entry no longer kept: its answer came too late, and it worked for nobody. Deadline and latency goal at the owner count from the head now, as at the entry.

Evidence: bodies.test.ts, "the time in which a forwarded body arrives is taken off its deadline", failed before with 19,999 ms told to the upstream, 300 ms after the head of a request with 20,000 ms; it passes now, with the other tests of the file and those of owner, relay, links, sidecar and reply_deadline.

--- a/__tests__/bodies.test.ts
+++ b/__tests__/bodies.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import test from 'ava';
@@ -158,6 +159,33 @@
   t.deepEqual(harness.upstreams[0].runs, []);
 });
 
+// An upstream was given time that the entry no longer had, and its answer came too
+// late.
+test.serial(
+  'the time in which a forwarded body arrives is taken off its deadline',
+  async t => {
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    let deadlineMs = NaN;
+    harness.upstreams[0].handle = (req, res) => {
+      deadlineMs = Number(req.headers['x-deadline-ms']);
+      answerOk(req, res, '');
+    };
+    const {host, peerPort} = board.settings;
+    const socket = connect(peerPort, host);
+    t.teardown(() => socket.destroy());
+    socket.write(`${formatForward('late', 'content-length: 5')}orde`);
+    await until(() => board.bodies.usedBytes === 4);
+    const heldFrom = performance.now();
+    await delay(300);
+    const heldMs = performance.now() - heldFrom;
+    socket.write('r');
+    await until(() => !Number.isNaN(deadlineMs));
+    t.true(deadlineMs <= 20_000 - heldMs, `${deadlineMs} ms`);
+    t.true(deadlineMs > 0);
+  },
+);
+
 /** Ends of a forwarded request with a body. */
 const BODY_ENDS: Record<string, (socket: Socket) => unknown> = {
   'its connection is closed within the body': socket => socket.destroy(),
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -79,9 +79,12 @@
     req.resume();
     return;
   }
-  const {rank, remainingMs} = request;
-  const deadlineAt = board.now() + remainingMs;
-  const call = owner.submit({...request, body});
+  const {rank} = request;
+  const bodyMs = board.now() - arrivedAt;
+  const goalMs = request.goalMs - bodyMs;
+  const remainingMs = request.remainingMs - bodyMs;
+  const deadlineAt = arrivedAt + request.remainingMs;
+  const call = owner.submit({...request, body, goalMs, remainingMs});
   const reply = await awaitReply(res, call);
   hold.release();
   if (reply.kind === 'answer') {
