Keep the cold rate with a copy of unknown age

It serves by the old copy of another daemon, and its own has no age then. An infinite age passed for a fresh copy, as for a daemon without any copy. Now only a daemon without a copy counts as such.

--- a/__tests__/cold_upstream.test.ts
+++ b/__tests__/cold_upstream.test.ts
@@ -156,3 +156,16 @@
   limiter.queue = [];
   t.is(startMany(), 13);
 });
+
+// A daemon that starts in an outage serves by the old copy of another one. Its own
+// has no age then, which passed for a fresh copy.
+test.serial('a copy of unknown age, and a cold upstream', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  board.readMirrorAge = () => Infinity;
+  t.true((await countBusiestSecond(harness, own, 20)) > 0);
+  own.health = {'x-cold-ms': '40000'};
+  const most = await countBusiestSecond(harness, own, 80);
+  t.true(most <= COLD_LIMIT, `${most} requests in one second`);
+});
--- a/src/sidecar/warm_check.ts
+++ b/src/sidecar/warm_check.ts
@@ -42,10 +42,10 @@
   });
 }
 
-/** A copy that was never read counts as fresh: nothing is served by it. */
-function isCopyFresh({readMirrorAge}: SidecarBoard): boolean {
-  const ageMs = readMirrorAge();
-  return ageMs <= FRESH_MS || ageMs === Infinity;
+/** Without any copy nothing is served. A copy that was only ever adopted from a
+ * daemon without a fresh one has no known age, and is not fresh. */
+function isCopyFresh({mirror, readMirrorAge}: SidecarBoard): boolean {
+  return mirror.revision === undefined || readMirrorAge() <= FRESH_MS;
 }
 
 /** Asks the upstream once whether it is cold. Without an answer nothing changes: it
