End the cold rate of an upstream that answers no health check

Only an answer ended that rate. The record of the upstream says whether it is cold once the copy has been fresh for two heartbeats, and ends it then too. A check that ends while the copy is old again does not. The new test would not end before.

--- a/__tests__/cold_upstream.test.ts
+++ b/__tests__/cold_upstream.test.ts
@@ -169,3 +169,19 @@
   const most = await countBusiestSecond(harness, own, 80);
   t.true(most <= COLD_LIMIT, `${most} requests in one second`);
 });
+
+// One old copy left an upstream that answers no health check at the cold rate for
+// good.
+test.serial('an upstream without health answers is served again', async t => {
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  own.ignoreHealthChecks = true;
+  const {readMirrorAge} = board;
+  board.readMirrorAge = () => FRESH_MS + 1;
+  await countBusiestSecond(harness, own, 40);
+  board.readMirrorAge = readMirrorAge;
+  while (board.limiter.unconfirmed) await harness.send(0);
+  const most = await countBusiestSecond(harness, own, 160);
+  t.true(most > 2 * COLD_LIMIT, `${most} requests in one second`);
+});
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -52,6 +52,8 @@
   isAskingWarm: boolean;
   /** Monotonic time at which the last of these checks was sent, ms. */
   warmAskedAt: number;
+  /** Monotonic time since which the copy of the store is fresh again, ms. */
+  copyFreshSince?: number;
   queueTimer?: NodeJS.Timeout;
 }
 
--- a/src/sidecar/warm_check.ts
+++ b/src/sidecar/warm_check.ts
@@ -16,6 +16,9 @@
 /** Shortest time between two of these health checks, ms. */
 const ASK_PAUSE_MS = 50;
 
+/** Heartbeats after which a fresh copy would tell of a cold upstream. */
+const LISTED_HEARTBEATS = 2;
+
 /**
  * Keeps the rate of a cold upstream while the store may not tell in time that it
  * has turned cold: it gets only so many requests until it has said again that it
@@ -24,10 +27,19 @@
  */
 export function checkWarm(state: OwnerState): void {
   const {board, checking, stopped} = state;
-  const {limiter} = board;
+  const {limiter, settings} = board;
   const now = board.now();
   const isFresh = isCopyFresh(board);
-  if (!isFresh) setUnconfirmed(limiter, true, now);
+  if (!isFresh) {
+    state.copyFreshSince = undefined;
+    setUnconfirmed(limiter, true, now);
+  } else if (limiter.unconfirmed) {
+    state.copyFreshSince ??= now;
+    // An upstream that answers no health check is believed by its record then.
+    const listedAt =
+      state.copyFreshSince + LISTED_HEARTBEATS * settings.heartbeatMs;
+    if (now >= listedAt) setUnconfirmed(limiter, false, now);
+  }
   // The first answer after the copy has become fresh ends these checks.
   const isDue = isFresh
     ? limiter.unconfirmed !== undefined
@@ -65,5 +77,5 @@
   } else {
     confirmWarm(limiter, startedThen, now);
   }
-  if (isLast) setUnconfirmed(limiter, false, now);
+  if (isLast && isCopyFresh(board)) setUnconfirmed(limiter, false, now);
 }
