Refuse early what the rate of an unconfirmed upstream can't take

Checks went on at up to 20 a second, and they are requests to an upstream that may be cold.

The predicted wait left that rate out, as the upstream was expected to answer soon. It counts now from 100 ms after a check without an answer, or once one was refused, until the upstream has answered; the next check then comes after 500 ms.

--- a/__tests__/cold_upstream.test.ts
+++ b/__tests__/cold_upstream.test.ts
@@ -185,3 +185,36 @@
   const most = await countBusiestSecond(harness, own, 160);
   t.true(most > 2 * COLD_LIMIT, `${most} requests in one second`);
 });
+
+const WITHOUT_WORD: Record<string, (upstream: HarnessUpstream) => void> = {
+  'no answer': own => (own.ignoreHealthChecks = true),
+  'a refused check': own => (own.health = {'x-not-run': '1'}),
+};
+
+for (const [answer, prepare] of Object.entries(WITHOUT_WORD)) {
+  // Requests that the rate could not take waited until their deadline was near, and
+  // health checks went on at 20 a second.
+  test.serial(`a cold rate that lasts refuses early: ${answer}`, async t => {
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    const [own] = harness.upstreams;
+    prepare(own);
+    board.readMirrorAge = () => FRESH_MS + 1;
+    await countBusiestSecond(harness, own, 40);
+    const checks = own.checks.length;
+    const startedAt = performance.now();
+    const held = await Promise.all(
+      Array.from({length: 60}, async () => {
+        const {status} = await harness.send(0);
+        return {status, ms: performance.now() - startedAt};
+      }),
+    );
+    const refused = held.filter(({status}) => status !== 200);
+    t.true(refused.length > 0);
+    // The route's timeout is 600 ms.
+    const late = refused.filter(({ms}) => ms > 300);
+    t.is(late.length, 0, `${late.length} of ${refused.length} refused late`);
+    const mostChecks = 1 + (performance.now() - startedAt) / 500;
+    t.true(own.checks.length - checks <= mostChecks);
+  });
+}
--- a/src/core/concurrency_limiter.ts
+++ b/src/core/concurrency_limiter.ts
@@ -86,6 +86,9 @@
   /** Limits the requests since the upstream last said that it is warm, while
    * nobody else would report that it has turned cold. */
   unconfirmed?: TokenBucket;
+  /** True when the upstream did not say in time whether it is warm when last
+   * asked. */
+  isWordMissing: boolean;
   /** Number of requests started so far. */
   started: number;
   /** Limit that the upstream states, requests per second. */
@@ -111,6 +114,7 @@
       ...createTokenBucket(DEFAULT_COLD_PER_S, COLD_BURST, now),
       tokens: 1,
     },
+    isWordMissing: false,
     started: 0,
     down: false,
     meanMs: INITIAL_MEAN_MS,
@@ -151,6 +155,7 @@
 ): void {
   if (!unconfirmed) {
     limiter.unconfirmed = undefined;
+    limiter.isWordMissing = false;
     return;
   }
   const {perS} = limiter.coldRate;
@@ -278,9 +283,9 @@
   now: number,
 ): number {
   const ahead = limiter.queue.filter(item => item.request.rank <= rank).length;
-  // The upstream is expected to say very soon that it is warm.
+  // An upstream that answers is expected to say very soon that it is warm.
   const rates = listRates(limiter, now).filter(
-    rate => rate !== limiter.unconfirmed,
+    rate => limiter.isWordMissing || rate !== limiter.unconfirmed,
   );
   const rateMs = computeRateWaitMs(rates, ahead + 1, now);
   const missing = Math.max(0, ahead + 1 - (limiter.slots - limiter.inFlight));
--- a/src/sidecar/warm_check.ts
+++ b/src/sidecar/warm_check.ts
@@ -16,6 +16,14 @@
 /** Shortest time between two of these health checks, ms. */
 const ASK_PAUSE_MS = 50;
 
+/** Shortest time to the next one after a check that was refused or not answered,
+ * ms: health checks are requests to a cold upstream, too. */
+const ASK_AGAIN_MS = 500;
+
+/** Time after which a health check that is not answered counts as without word, ms;
+ * until then requests wait for it. */
+const WORD_LATE_MS = 100;
+
 /** Heartbeats after which a fresh copy would tell of a cold upstream. */
 const LISTED_HEARTBEATS = 2;
 
@@ -45,7 +53,8 @@
     ? limiter.unconfirmed !== undefined
     : needsConfirmation(limiter, now);
   if (!isDue || checking || stopped || state.isAskingWarm) return;
-  if (now < state.warmAskedAt + ASK_PAUSE_MS) return;
+  const pauseMs = limiter.isWordMissing ? ASK_AGAIN_MS : ASK_PAUSE_MS;
+  if (now < state.warmAskedAt + pauseMs) return;
   state.warmAskedAt = now;
   state.isAskingWarm = true;
   void askUpstream(state, isFresh).finally(() => {
@@ -62,12 +71,18 @@
 
 /** Asks the upstream once whether it is cold. Without an answer nothing changes: it
  * gets no more than the cold rate beyond what it may still get. */
-async function askUpstream(state: OwnerState, isLast: boolean): Promise<void> {
+async function askUpstream(
+  state: OwnerState,
+  wasFresh: boolean,
+): Promise<void> {
   const {board} = state;
   const {limiter} = board;
   const startedThen = limiter.started;
+  const timer = setTimeout(() => (limiter.isWordMissing = true), WORD_LATE_MS);
   const headers = await fetchHealth(state);
+  clearTimeout(timer);
   const coldMs = headers && readColdMs(board, headers);
+  limiter.isWordMissing = coldMs === undefined;
   if (coldMs === undefined) return;
   const now = board.now();
   if (coldMs > 0) {
@@ -77,5 +92,5 @@
   } else {
     confirmWarm(limiter, startedThen, now);
   }
-  if (isLast && isCopyFresh(board)) setUnconfirmed(limiter, false, now);
+  if (wasFresh && isCopyFresh(board)) setUnconfirmed(limiter, false, now);
 }
