Ask on after refused health checks

A limit that such an answer stated was not read.

The checks end after 40, and only a call that fails starts new ones. A request now does so while the upstream has refused to tell, and each answer's limit is applied.

--- a/__tests__/cold_upstream.test.ts
+++ b/__tests__/cold_upstream.test.ts
@@ -218,3 +218,29 @@
     t.true(own.checks.length - checks <= mostChecks);
   });
 }
+
+// After 40 refused health checks nothing asked again, and the upstream stayed at the
+// cold rate until a call failed.
+test.serial('an upstream that refused health checks is asked on', async t => {
+  t.timeout(60_000);
+  const harness = await startHarness(t, ['dc1']);
+  const [{board}] = harness.sidecars;
+  const [own] = harness.upstreams;
+  own.health = {'x-not-run': '1', 'server-limit': '20'};
+  harness.store.put('servers/u0', {
+    addr: `${own.host}:${own.port}`,
+    born: 2_000,
+    info: {service: 's', version: 'v1', zone: 'dc1', slots: 8},
+    status: {state: 'ready', sequence: 1, cold_left: '0ms'},
+  });
+  await until(() => board.limiter.coldUntil === Infinity);
+  await until(() => board.limiter.statedPerS === 20);
+  let checks = -1;
+  while (checks < own.checks.length) {
+    checks = own.checks.length;
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+  }
+  own.health = {};
+  while (board.limiter.coldUntil === Infinity) await harness.send(0);
+  t.true(own.checks.length > checks);
+});
--- a/src/sidecar/owner.ts
+++ b/src/sidecar/owner.ts
@@ -39,6 +39,7 @@
 } from './owner_checks.js';
 import {
   type OwnerState,
+  askColdAgain,
   handleBrokenCall,
   handleRestart,
   processQueue,
@@ -90,6 +91,7 @@
     takenOut: false,
     initialCheckStarted: false,
     isAskingWarm: false,
+    mustAskCold: false,
     warmAskedAt: -Infinity,
   };
   return {
@@ -242,6 +244,7 @@
     refuse,
   };
   state.active++;
+  askColdAgain(state);
   checkWarm(state);
   const outcome = checkArrival(board, request);
   if (outcome) refuse(outcome, getRetryMs(outcome));
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -52,6 +52,9 @@
   isAskingWarm: boolean;
   /** Monotonic time at which the last of these checks was sent, ms. */
   warmAskedAt: number;
+  /** True when the last check ended without the upstream's word whether it is cold,
+   * which it refused to give. */
+  mustAskCold: boolean;
   /** Monotonic time since which the copy of the store is fresh again, ms. */
   copyFreshSince?: number;
   queueTimer?: NodeJS.Timeout;
@@ -110,6 +113,12 @@
   });
 }
 
+/** Asks again for the cold time that an upstream refused to tell; called with each
+ * request, as the checks end after some time. */
+export function askColdAgain(state: OwnerState): void {
+  if (state.mustAskCold) startHealthCheck(state, 'refused');
+}
+
 async function checkHealth(
   state: OwnerState,
   suspects: string[],
@@ -122,10 +131,14 @@
     const coldMs = headers && readColdMs(board, headers);
     if (headers && coldMs !== undefined) {
       applyHealth(state, headers, coldMs);
+      state.mustAskCold = false;
       return;
     }
+    if (headers) applyHealthLimit(board, headers);
+    const isColdUnknown = isCold(board.limiter, sentAt);
+    state.mustAskCold = headers !== undefined && isColdUnknown;
     // A busy upstream may drop the check and still answer requests.
-    if (state.answeredAt >= sentAt && !isCold(board.limiter, sentAt)) break;
+    if (state.answeredAt >= sentAt && !isColdUnknown) break;
     if (headers) board.limiter.down = false;
     else if (!board.limiter.down) {
       board.limiter.down = true;
