Look at the settings file before a request gets its caller

Cause: the caller comes from settings that were read on SIGHUP and every 2 s. The class: a value that binds each request is taken from a copy whose age nobody looks at.

A text that is not valid changes nothing and is logged once, as before. Weighed: a watch of the directory, and the store's record of the own address (docs/decisions/0016-settings-without-a-signal.md).

The same cause elsewhere: none found by reading; of a change, only the service is applied while a daemon runs.

--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -68,6 +68,9 @@
 /** State of one sidecar, shared by its parts. */
 export interface SidecarBoard {
   settings: SidecarSettings;
+  /** Called before a request gets the name of the service; may change the
+   * settings. Never throws. */
+  refreshSettings: () => void;
   readonly names: HeaderNames;
   /** Configuration in force; undefined before the first one. */
   table?: RouteTable;
@@ -145,6 +148,7 @@
   const counters = new Map<string, number>();
   return {
     ...deps,
+    refreshSettings: () => {},
     list: createUpstreamList(),
     mirror: createMirror(deps.prefix, deps.isUnchanged),
     readMirrorAge: () => Infinity,
--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -37,7 +37,7 @@
   exchange.version = table.config.version;
   if (!route) return 'unknownRoute';
   exchange.route = route;
-  const {names, settings} = board;
+  const {names} = board;
   const deadlineMs = Number(readHeader(headers, names.deadlineMs) ?? NaN);
   const requestedMs = Number.isFinite(deadlineMs)
     ? deadlineMs
@@ -59,7 +59,8 @@
     names.deadlineMs,
     names.expectedUpstream,
   ]);
-  exchange.headers.push(names.caller, settings.service);
+  board.refreshSettings();
+  exchange.headers.push(names.caller, board.settings.service);
   exchange.service = chooseService(board.splits, route, board.random);
   creditRequest(
     board.resends,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -71,6 +71,8 @@
   readonly board: SidecarBoard;
   /** Starts following the platform's store. */
   follow(store: KeyValueStore): StoreFollower;
+  /** Sets what is called before a request gets the name of the service. */
+  onStamp(refreshSettings: () => void): void;
   /** Applies a changed service name; other settings stay as at the start. */
   reload(settings: SidecarSettings): void;
   /** Logs that changed settings could not be read; the old ones stay. */
@@ -243,6 +245,9 @@
       board.isStoreLost = storeFollow.isStoreLost;
       return storeFollow;
     },
+    onStamp(refreshSettings) {
+      board.refreshSettings = refreshSettings;
+    },
     reload(next) {
       board.settings = {...settings, service: next.service};
       applyServices(board);
