--- a/__tests__/soak.test.ts
+++ b/__tests__/soak.test.ts
@@ -28,6 +28,10 @@
  * memory than their limit. */
 const FAULT_KINDS = ['earlySignal', 'lateSettings', 'heldPort', 'slowReaders'];
 
+/** Kinds around which half an answer looked whole, or requests bore the name of a
+ * service that the settings named before. */
+const SETTINGS_KINDS = ['cutAnswers', 'newService'];
+
 const RUNS = [
   ...SEEDS.map(seed => ({
     ...{name: 'random faults', seed, kinds: KINDS},
@@ -52,6 +56,11 @@
     ...{name: 'troubled starts and slow readers', seed: 1, kinds: FAULT_KINDS},
     ...{seconds: 5, connections: 1},
   },
+  {
+    // Issue 53.
+    ...{name: 'cut answers and new services', seed: 4, kinds: SETTINGS_KINDS},
+    ...{seconds: 5, connections: 1},
+  },
 ];
 
 for (const {name, seed, kinds, seconds, connections} of RUNS) {
--- a/__tests__/soak_checker.test.ts
+++ b/__tests__/soak_checker.test.ts
@@ -58,6 +58,20 @@
   t.deepEqual(getRules(), ['UNASKED:', 'UNASKED:', 'UNASKED:']);
 });
 
+test('only a request in flight during a change may bear the later caller', t => {
+  const {checker, booking, getRules} = createChecker();
+  checker.recordServiceChange('a', 'b');
+  checker.recordArrival('u', {...booking, caller: 'b'});
+  const read = {path: '/read/1', body: '', idempotent: true};
+  checker.recordSent({...read, id: 'r2', caller: 'b'}, 900);
+  checker.recordArrival('u', {...read, id: 'r2', caller: 'b'});
+  t.deepEqual(getRules(), []);
+  checker.recordArrival('u', {...read, id: 'r2', caller: 'a'});
+  checker.recordSent({...read, id: 'r3', caller: 'a'}, 900);
+  checker.recordArrival('u', {...read, id: 'r3', caller: 'b'});
+  t.deepEqual(getRules(), ['UNASKED:', 'UNASKED:']);
+});
+
 test('answers of other requests and lost answers are reported', t => {
   const {checker, booking, answer, getRules} = createChecker();
   checker.recordAnswer('r1', {...answer, status: 200, body: 'x'}, false);
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -25,6 +25,8 @@
   readonly request: SentRequest;
   /** Monotonic time until which the customer waits for its answer, ms. */
   readonly waitsUntil: number;
+  /** Service that its instance got while it was in flight. */
+  laterCaller?: string;
   runs: number;
   arrivals: number;
   /** True once a status has stated that the request never runs. */
@@ -80,6 +82,15 @@
     this.#sendTimes.push(this.now());
   }
 
+  /** Records that an instance changes from one service to another now: a request
+   * that is in flight may bear either. */
+  recordServiceChange(from: string, to: string): void {
+    for (const tracked of this.#requests.values()) {
+      if (tracked.waitsUntil < this.now()) continue;
+      if (tracked.request.caller === from) tracked.laterCaller = to;
+    }
+  }
+
   /** Records a request that an upstream accepted, and checks it. */
   recordArrival(upstream: string, seen: Omit<SentRequest, 'idempotent'>): void {
     const tracked = this.#requests.get(seen.id);
@@ -88,7 +99,7 @@
     if (seen.path !== request.path || seen.body !== request.body) {
       this.#report('UNASKED', `${seen.id} was changed in transit`);
     }
-    if (seen.caller !== request.caller) {
+    if (![request.caller, tracked.laterCaller].includes(seen.caller)) {
       this.#report('UNASKED', `${seen.id} has the caller ${seen.caller}`);
     }
     tracked.arrivals++;
--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -1,6 +1,7 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {
   createWriteStream,
+  renameSync,
   rmSync,
   type WriteStream,
   writeFileSync,
@@ -64,7 +65,7 @@
     readonly name: string,
     readonly host: string,
     dir: string,
-    private readonly settings: object,
+    private settings: object,
     /** Arguments of Node, of which the loader reports its begin on a pipe. */
     private readonly programArgs: readonly string[],
   ) {
@@ -122,6 +123,20 @@
     else writeFileSync(this.#file, text);
   }
 
+  /** Changes fields of `self` without a signal, in place or by another file; false
+   * while the file is not whole. */
+  changeSettings(change: object, inPlace: boolean): boolean {
+    if (this.#fileState !== 'whole') return false;
+    const {self} = this.settings as {self: object};
+    this.settings = {...this.settings, self: {...self, ...change}};
+    if (inPlace) this.writeSettings('whole');
+    else {
+      writeFileSync(`${this.#file}.new`, JSON.stringify(this.settings));
+      renameSync(`${this.#file}.new`, this.#file);
+    }
+    return true;
+  }
+
   /** Sends a signal to the process if it runs. Signals that the program handles
    * wait until its loader has started. */
   signal(name: NodeJS.Signals): void {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {cutAnswers} from './cut_answers.js';
 import {
   BOUNDS,
   type Fault,
@@ -103,6 +104,7 @@
 export const FAULTS: Record<string, Fault> = {
   ...START_FAULTS,
   slowReaders,
+  cutAnswers,
   term(harness) {
     const {daemons, random} = harness;
     const count =
--- a/soak/harness.ts
+++ b/soak/harness.ts
@@ -47,6 +47,8 @@
   readonly upstreams: Upstream[];
   readonly storeProxies: FaultProxy[];
   readonly appProxies: FaultProxy[];
+  /** Services in the settings of the daemons, by name. */
+  readonly services: Map<string, string>;
   readonly checker: Checker;
   /** Selects the faults. */
   readonly random: () => number;
--- a/soak/slow_readers.ts
+++ b/soak/slow_readers.ts
@@ -51,21 +51,29 @@
   return `${CONNECTIONS} connections to ${daemon.name}`;
 };
 
-function openSlowReader(
-  {checker, trafficRandom, upstreams, daemons}: Harness,
+/** Records a request for a large answer, which its customer waits for until the
+ * timeout of the route; returns its path. */
+export function recordLargeRequest(
+  {checker, trafficRandom, services}: Harness,
   daemon: Daemon,
   id: string,
-): Socket {
-  const socket = connect(PORTS.customer, daemon.host);
-  socket.on('error', () => {});
-  socket.pause();
-  const caller = upstreams[daemons.indexOf(daemon)].service;
+  bytes: number,
+): string {
+  const caller = services.get(daemon.name) ?? '';
   const service = trafficRandom() < 0.5 ? 'a' : 'b';
-  const path = `/large-${service}/1?${SIZE_PARAMETER}=${ANSWER_BYTES}`;
+  const path = `/large-${service}/1?${SIZE_PARAMETER}=${bytes}`;
   checker.recordSent(
     {id, path, body: '', idempotent: true, caller},
     LARGE_ROUTE.timeoutMs,
   );
+  return path;
+}
+
+function openSlowReader(harness: Harness, daemon: Daemon, id: string): Socket {
+  const socket = connect(PORTS.customer, daemon.host);
+  socket.on('error', () => {});
+  socket.pause();
+  const path = recordLargeRequest(harness, daemon, id, ANSWER_BYTES);
   const lines = [
     `GET ${path} HTTP/1.1`,
     'host: shop.example',
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -79,15 +79,12 @@
     for (const daemon of harness.daemons) daemon.signal('SIGKILL');
   };
   process.once('exit', killDaemons);
-  const {daemons, checker, upstreams, random, trafficRandom, now} = harness;
+  const {daemons, checker, services, random, trafficRandom, now} = harness;
   const stopCopies = checkCopies(daemons, harness.store, checker, now);
   const stopMemory = checkMemory(daemons, checker);
   let largestMb = 0;
   try {
     await waitUntilReady(harness);
-    const services = new Map(
-      daemons.map(({name}, i) => [name, upstreams[i].service]),
-    );
     const stopCustomers = startCustomers(
       daemons,
       services,
@@ -103,9 +100,7 @@
       trafficRandom,
       now,
     );
-    const stopProbes = daemons.map((daemon, i) =>
-      probeVersions(harness, daemon, upstreams[i].service),
-    );
+    const stopProbes = daemons.map(daemon => probeVersions(harness, daemon));
     const endAt = now() + options.seconds * 1_000;
     while (now() < endAt) {
       await delay(FAULT_GAP_MS.shortest + FAULT_GAP_MS.spread * random());
@@ -159,7 +154,7 @@
   const harness: Harness = {
     ...{store, storeServer, checker, random, trafficRandom, now},
     ...{daemons: [], upstreams: [], storeProxies: [], appProxies: []},
-    ...{faults: [], pendingRecoveries: new Set()},
+    ...{faults: [], pendingRecoveries: new Set(), services: new Map()},
     disruptedUntil: -Infinity,
     version: 0,
     publishedAt: 0,
@@ -190,18 +185,15 @@
     const daemon = new Daemon(`d${i}`, host, dir, settings, programArgs);
     daemon.onOwnEnd = end => checker.reportOwnEnd(daemon.name, end);
     harness.daemons.push(daemon);
+    harness.services.set(daemon.name, service);
   }
   for (const daemon of harness.daemons) daemon.start();
   return harness;
 }
 
 /** Probes a daemon for the newest version; returns a stop function. */
-function probeVersions(
-  harness: Harness,
-  daemon: Daemon,
-  service: string,
-): () => void {
-  const {checker, now} = harness;
+function probeVersions(harness: Harness, daemon: Daemon): () => void {
+  const {checker, services, now} = harness;
   let newest = {incarnation: 0, version: 0};
   let probeCount = 0;
   const probe = async (): Promise<void> => {
@@ -211,7 +203,8 @@
     if (!daemon.running) return;
     const id = `p-${daemon.name}-${++probeCount}`;
     const request = {id, path: `/v${version}/1`, body: ''};
-    const sent = {...request, idempotent: true, caller: service};
+    const caller = services.get(daemon.name) ?? '';
+    const sent = {...request, idempotent: true, caller};
     checker.recordSent(sent, ROUTE_TIMEOUT_MS);
     const {status} = await sendRequest(daemon, false, request);
     if (daemon.incarnation !== incarnation || status === 0) return;
--- a/soak/start_faults.ts
+++ b/soak/start_faults.ts
@@ -62,7 +62,8 @@
   return Math.round(shortest + spread * random());
 }
 
-/** Faults around the start of a daemon (issue 52), by kind. */
+/** Faults around the start of a daemon and its settings (issues 52 and 53), by
+ * kind. */
 export const START_FAULTS: Record<string, Fault> = {
   earlySignal(harness) {
     const daemon = pickRunningDaemon(harness);
@@ -125,6 +126,19 @@
     const signal = isSignalled ? ', SIGHUP' : '';
     return `${daemon.name} ${state} for ${ms} ms ${phase}${signal}`;
   },
+  newService(harness) {
+    const daemon = pickRunningDaemon(harness);
+    if (!daemon) return undefined;
+    const inPlace = harness.random() < 0.5;
+    const {services, checker} = harness;
+    const from = services.get(daemon.name) ?? '';
+    const to = from === 'a' ? 'b' : 'a';
+    if (!daemon.changeSettings({service: to}, inPlace)) return undefined;
+    services.set(daemon.name, to);
+    checker.recordServiceChange(from, to);
+    const way = inPlace ? 'in place' : 'by another file';
+    return `${daemon.name} is of ${to} now, ${way}`;
+  },
   heldPort(harness) {
     const daemon = pickRunningDaemon(harness);
     if (!daemon) return undefined;
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -44,6 +44,8 @@
 export class Upstream {
   losesAnswers = false;
   spoils?: Spoiling;
+  /** False while the end of the connection ends each answer. */
+  statesLength = true;
   id = '';
   /** Requests that it works on, also once nobody waits for the answer. */
   readonly atWork = new Set<string>();
@@ -176,7 +178,11 @@
       res.socket?.uncork();
       return void req.socket.resetAndDestroy();
     }
-    res.setHeader('content-length', text.length);
+    if (this.statesLength) res.setHeader('content-length', text.length);
+    else {
+      res.useChunkedEncodingByDefault = false;
+      res.setHeader('connection', 'close');
+    }
     res.writeHead(200).end(text);
   }
 
