--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,5 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {ROUTE_TIMEOUT_MS, sendRequest} from './customers.js';
+import {cutAnswers} from './cut_answers.js';
 import {
   BOUNDS,
   type Fault,
@@ -148,6 +149,7 @@
   ...START_FAULTS,
   ...LOAD_FAULTS,
   slowReaders,
+  cutAnswers,
   term(harness) {
     const {daemons, random} = harness;
     const count =
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -46,6 +46,8 @@
   spoils?: Spoiling;
   /** Answers a request in its place, or never; false leaves the request to it. */
   respond?: (id: string, res: ServerResponse) => boolean;
+  /** False while the end of the connection ends each answer. */
+  statesLength = true;
   id = '';
   /** Requests that it works on, also once nobody waits for the answer. */
   readonly atWork = new Set<string>();
@@ -188,7 +190,11 @@
       res.socket?.uncork();
       return void req.socket.resetAndDestroy();
     }
-    res.setHeader('content-length', text.length);
+    if (this.statesLength) res.setHeader('content-length', text.length);
+    else {
+      res.useChunkedEncodingByDefault = false;
+      res.setHeader('connection', 'close');
+    }
     res.writeHead(200).end(text);
   }
 
