End a forwarded body that stops at its deadline

A daemon that is paused, or whose machine is gone, ends no connection. Its part of a forwarded body then held the owner's memory for bodies for as long as the connection lasted, and bodies of others were refused as full.

Cause: an owner heeded the deadline of a request only once its body had ended; only entries end such bodies since. The owner now refuses the request at its deadline, as not run, and drops what it holds; the rest is read and not kept, so that the connection goes on. Input that has arrived by then is read first.

Found by reading. Evidence: bodies.test.ts, "a forwarded body that does not end is held until its deadline", got no reply before (time limit of the test) and passes now with the file's other 13. With the check for a closed response ahead of the rest's reading it fails (ECONNRESET): a rest above the buffer of the request was not read.

--- a/__tests__/bodies.test.ts
+++ b/__tests__/bodies.test.ts
@@ -186,6 +186,35 @@
   },
 );
 
+// A daemon that is paused or gone ends no connection, and its part of a body kept the
+// bodies of others out.
+test.serial(
+  'a forwarded body that does not end is held until its deadline',
+  async t => {
+    const harness = await startHarness(t, ['dc1']);
+    const [{board}] = harness.sidecars;
+    const {host, peerPort} = board.settings;
+    const socket = connect(peerPort, host);
+    t.teardown(() => socket.destroy());
+    let reply = '';
+    socket.on('data', (chunk: Buffer) => (reply += chunk.toString()));
+    const head = formatForward('stop', `content-length: ${MB}`);
+    socket.write(`${head.replace(',20000,', ',500,')}part`);
+    await until(() => board.bodies.usedBytes === 4);
+    await until(() => reply);
+    t.regex(reply, /^HTTP\/1.1 503 /);
+    t.regex(reply, /\r\nberylbend-verdict: not-run\r\n/i);
+    t.is(board.bodies.usedBytes, 0);
+    // The rest is not taken for a request, and the next one is served.
+    reply = '';
+    socket.write(Buffer.alloc(MB - 4, 'x'));
+    socket.write(formatForward('next', 'content-length: 0'));
+    await until(() => reply);
+    t.regex(reply, /^HTTP\/1.1 200 /);
+    t.deepEqual(harness.upstreams[0].runs, ['next']);
+  },
+);
+
 /** Ends of a forwarded request with a body. */
 const BODY_ENDS: Record<string, (socket: Socket) => unknown> = {
   'its connection is closed within the body': socket => socket.destroy(),
--- a/src/sidecar/body_budget.ts
+++ b/src/sidecar/body_budget.ts
@@ -21,12 +21,15 @@
   release(): void;
   /** True once the bytes were released. */
   isReleased(): boolean;
+  /** Sets what drops the bytes themselves at the release. */
+  setDrop(drop: () => void): void;
 }
 
 /** Creates the entry of a body of which nothing was received. */
 export function createBodyHold(budget: BodyBudget): BodyHold {
   let size = 0;
   let released = false;
+  let dropBytes = () => {};
   return {
     add(bytes) {
       if (released) return true;
@@ -38,8 +41,12 @@
       released = true;
       budget.usedBytes -= size;
       size = 0;
+      dropBytes();
     },
     isReleased: () => released,
+    setDrop(drop) {
+      dropBytes = drop;
+    },
   };
 }
 
@@ -58,6 +65,8 @@
   if (declared > maxBytes) return 'tooLarge';
   if (budget.usedBytes + declared > budget.limitBytes) return 'full';
   const chunks = new ChunkList();
+  // The next piece may come late or never.
+  hold.setDrop(() => chunks.clear());
   const input = req.iterator({destroyOnReturn: false});
   for await (const chunk of input as AsyncIterable<Buffer>) {
     if (hold.isReleased()) return undefined;
--- a/src/sidecar/inbound.ts
+++ b/src/sidecar/inbound.ts
@@ -1,5 +1,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {count, formatReport, HEADERS} from '../internal.js';
+import {
+  count,
+  formatReport,
+  HEADERS,
+  type Outcome,
+  setReplyTimeout,
+} from '../internal.js';
 import {readBody} from '../daemon/http.js';
 import {recordLatency} from '../daemon/metrics.js';
 import type {SidecarBoard} from './board.js';
@@ -8,7 +14,7 @@
   crashReportsSchema,
   applyCrashReports,
 } from './crash_reports.js';
-import {createBodyHold, readCountedBody} from './body_budget.js';
+import {type BodyHold, createBodyHold, readCountedBody} from './body_budget.js';
 import type {ForwardCall, ForwardReply, ForwardRequest} from './forward.js';
 import {readForward, writeReply} from './forward_http.js';
 import type {Owner} from './owner.js';
@@ -67,18 +73,23 @@
   const isHead = req.method === 'HEAD';
   const hold = createBodyHold(board.bodies);
   res.once('close', hold.release);
-  const body = hasBody(req)
-    ? await readCountedBody(board.bodies, hold, req, Infinity)
-    : undefined;
-  if (res.destroyed) return;
-  if (typeof body === 'string') {
+  const refuse = (outcome: Outcome): void => {
     hold.release();
-    const reply = refuseBody(board, owner, request, arrivedAt);
+    const reply = refuseBody(board, owner, request, arrivedAt, outcome);
     writeReply(res, reply, isHead, () => {});
+  };
+  const body = hasBody(req)
+    ? await readForwardedBody(board, hold, req, request.remainingMs, () =>
+        refuse('deadlineTooShort'),
+      )
+    : undefined;
+  if (typeof body === 'string' || hold.isReleased()) {
+    if (typeof body === 'string' && !res.destroyed) refuse(body);
     // The next request of the connection follows the rest of the body.
     req.resume();
     return;
   }
+  if (res.destroyed) return;
   const {rank} = request;
   const bodyMs = board.now() - arrivedAt;
   const goalMs = request.goalMs - bodyMs;
@@ -102,22 +113,40 @@
   );
 }
 
-/** Refuses a request for whose body there is no memory; the upstream has not got
- * any of it. */
+/** Reads a body; calls `onLate` if it has not ended in time, as an entry that is
+ * paused or gone does not end the connection. */
+async function readForwardedBody(
+  {bodies}: SidecarBoard,
+  hold: BodyHold,
+  req: IncomingMessage,
+  limitMs: number,
+  onLate: () => void,
+): Promise<Buffer | Outcome | undefined> {
+  const cancelTimeout = setReplyTimeout(onLate, Math.ceil(limitMs));
+  try {
+    return await readCountedBody(bodies, hold, req, Infinity);
+  } finally {
+    cancelTimeout();
+  }
+}
+
+/** Refuses a request for whose body there is no memory or time; the upstream has
+ * not got any of it. */
 function refuseBody(
   board: SidecarBoard,
   owner: Owner,
   request: ForwardRequest,
   arrivedAt: number,
+  outcome: Outcome,
 ): ForwardReply {
-  count(board, 'owner_refused_full');
-  count(board, 'owner_refused_body_memory');
-  logRefusal(board, request, 'full', false);
+  count(board, `owner_refused_${outcome}`);
+  if (outcome === 'full') count(board, 'owner_refused_body_memory');
+  logRefusal(board, request, outcome, false);
   return {
     kind: 'refused',
-    outcome: 'full',
+    outcome,
     reachedUpstream: false,
-    retryAfterMs: MEMORY_RETRY_MS,
+    retryAfterMs: outcome === 'full' ? MEMORY_RETRY_MS : 0,
     report: owner.readReport(),
     heldMs: board.now() - arrivedAt,
   };
