Ask on for crashes until a daemon has answered that knows those of others

Any answer counted as complete. Now that takes the answer of a daemon that has been told the records of others, or five rounds with others, as all may have started together. A daemon that was silent, is heard again and does not answer is asked again.

The two new tests failed before: asked once in 4 s, the record never learned. Three tests took any answer for a complete one, which is the fault; they now wait for the end of the rounds, and one also asserts that the first such answer is not enough.

--- a/__tests__/crash_records.test.ts
+++ b/__tests__/crash_records.test.ts
@@ -78,8 +78,9 @@
     next.board.suspects.byFingerprint.set(key, value);
   }
   await until(() => readCrashes(board) === 2);
-  t.true(board.crashRecords.complete);
   t.is((await harness.send(0, POISON)).status, 503);
+  // Neither has been told by a daemon that knew more; they end after some rounds.
+  await until(() => board.crashRecords.complete);
 });
 
 /** Starts a daemon beside a peer whose only answers are `body` with `status`. */
@@ -157,7 +158,9 @@
 test.serial('a peer of an earlier version holds up no start', async t => {
   const {status, board} = await startBesidePeer(t, '', 404);
   t.is(status, 200);
-  t.true(board.crashRecords.complete);
+  // Others may know more, but are not asked for good.
+  t.false(board.crashRecords.complete);
+  await until(() => board.crashRecords.complete);
 });
 
 // A daemon that had missed the first crashes counted one, reported one, and let
@@ -208,6 +211,7 @@
 // A daemon in touch has nothing to ask for: the exchange costs a calm day nothing.
 test.serial('a daemon asks after a pause, and not while in touch', async t => {
   const harness = await startHarness(t, ['dc1', 'dc2']);
+  await until(() => harness.sidecars[1].board.crashRecords.complete);
   let now = 1_000_000;
   const board = {
     ...harness.sidecars[0].board,
@@ -271,3 +275,32 @@
   const {action} = classifyRequest(board.suspects, FP, board.now());
   t.is(action, 'alone');
 });
+
+// A daemon that was answered only by one that knew nothing itself, or by an earlier
+// version, asked nobody again: the one that knew was silent just then.
+for (const status of [200, 404]) {
+  test.serial(
+    `an answer that tells nothing ends no asking: ${status}`,
+    async t => {
+      const harness = await startHarness(t, ['dc1']);
+      const record = {
+        ...{fingerprint: FP, upstream: 'u9', crashes: 2, ageMs: 1_000},
+        ...{refusalMs: 60_000, refusalEndsInMs: 50_000},
+      };
+      let asked = 0;
+      harness.store.put('op/evacuate/dc2', '{}');
+      await harness.addPeer(t, 'dc2', (req, res) => {
+        if (req.url !== CRASH_PATH) return void res.writeHead(404).end();
+        asked++;
+        if (asked === 1 && status === 404) return void res.writeHead(404).end();
+        const records = asked === 1 ? [] : [record];
+        res.end(JSON.stringify({complete: asked > 1, records}));
+      });
+      await until(() => harness.sidecars[0].board.list.byId.has('peer'));
+      asked = 0;
+      const {board} = await harness.restart(0);
+      await until(() => readSuspectRecord(board.suspects, FP, board.now()));
+      t.true(board.crashRecords.complete);
+    },
+  );
+}
--- a/src/sidecar/crash_records.ts
+++ b/src/sidecar/crash_records.ts
@@ -33,6 +33,10 @@
 /** Shortest time between two rounds of asking, ms. */
 const ASK_INTERVAL_MS = 1_000;
 
+/** Rounds after which the records count as complete without the answer of a daemon
+ * that has been told those of others: all may have started together. */
+const MAX_ROUNDS = 5;
+
 /** Pause of this process after which it may have missed a report, ms: other
  * daemons try to send it for longer. */
 const MISSED_PAUSE_MS = 500;
@@ -59,9 +63,11 @@
 
 /** What a daemon has learned from others of requests that crash upstreams. */
 export interface CrashRecords {
-  /** True once another daemon has answered; false again when reports may have
-   * been missed. */
+  /** True once a daemon has answered that was told the records of others, or after
+   * some rounds; false again when reports may have been missed. */
   complete: boolean;
+  /** Rounds without such an answer, but with another one. */
+  rounds: number;
   /** Pending while the first round lasts, for which requests wait. */
   starting?: Promise<void>;
   /** Hosts of daemons that were silent and have been heard again. */
@@ -79,6 +85,7 @@
 export function createCrashRecords(): CrashRecords {
   return {
     complete: false,
+    rounds: 0,
     returned: new Set(),
     asking: false,
     askedAt: -Infinity,
@@ -149,10 +156,11 @@
   const isStart = state.askedAt === -Infinity;
   state.askedAt = now;
   const hosts = pickHosts(board);
+  const returned = new Set(state.returned);
   state.returned.clear();
   if (hosts.length === 0) return;
   state.asking = true;
-  const first = askHosts(board, client, hosts);
+  const first = askHosts(board, client, hosts, returned);
   if (!isStart) return;
   state.starting = first.then(() => {
     state.starting = undefined;
@@ -163,7 +171,10 @@
   const {crashRecords: state} = board;
   const isCopyOld = board.readMirrorAge() > MAX_COPY_AGE_MS;
   const wasPaused = now - state.checkedAt > MISSED_PAUSE_MS;
-  if (wasPaused || (state.wasCopyOld && !isCopyOld)) state.complete = false;
+  if (wasPaused || (state.wasCopyOld && !isCopyOld)) {
+    state.complete = false;
+    state.rounds = 0;
+  }
   state.wasCopyOld = isCopyOld;
   state.checkedAt = now;
 }
@@ -188,23 +199,35 @@
 }
 
 /** Asks daemons; resolves when one that has asked others has answered, or when
- * none is left to answer. */
+ * none is left to answer. One that has returned and does not answer is asked
+ * again. */
 function askHosts(
   board: SidecarBoard,
   client: HttpClient,
   hosts: readonly string[],
+  returned: ReadonlySet<string>,
 ): Promise<void> {
   const {crashRecords: state} = board;
-  state.complete = false;
+  let isComplete = false;
+  let isAnswered = false;
   return new Promise(resolve => {
     const asked = hosts.map(async host => {
-      const isComplete = await askHost(board, client, host);
-      if (isComplete === undefined) return;
+      const answer = await askHost(board, client, host);
+      if (answer === undefined) {
+        if (returned.has(host)) state.returned.add(host);
+        return;
+      }
+      isAnswered = true;
+      if (!answer) return;
+      isComplete = true;
       state.complete = true;
-      if (isComplete) resolve();
+      resolve();
     });
     void Promise.all(asked).then(() => {
       state.asking = false;
+      if (isComplete) state.rounds = 0;
+      else if (isAnswered) state.rounds++;
+      if (state.rounds >= MAX_ROUNDS) state.complete = true;
       resolve();
     });
   });
