--- a/__tests__/soak_checker.test.ts
+++ b/__tests__/soak_checker.test.ts
@@ -145,3 +145,22 @@
     '0.00 s FAULT: d4 took 300 of 250 MB',
   ]);
 });
+
+test('a request that goes on crashing upstreams is reported', t => {
+  const {checker, getRules} = createChecker();
+  for (const retries of [1, 2, 3]) checker.checkCrashes('/book/1', retries);
+  t.deepEqual(getRules(), []);
+  checker.checkCrashes('/book/1', 4);
+  t.deepEqual(getRules(), ['BUDGET:']);
+});
+
+test('more requests than a stated limit allows are reported', t => {
+  const {state, checker, getRules} = createChecker();
+  state.at = 10_000;
+  const times = [5_000, ...Array.from({length: 11}, (_, i) => 9_000 + i)];
+  // 1.5 times 4 s of the limit, and 5 more; the first one is too long ago.
+  checker.checkStatedLimit('u', times, 1);
+  t.deepEqual(getRules(), []);
+  checker.checkStatedLimit('u', [...times, 9_500], 1);
+  t.deepEqual(getRules(), ['LIMIT:']);
+});
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -42,6 +42,12 @@
   readonly resendWindowMs: number;
 }
 
+/** Retries of a request that may reach upstreams after its third crash. */
+const MAX_CRASH_RETRIES = 3;
+
+/** Requests that an upstream may get beyond its stated limit, in any window. */
+const STATED_LIMIT = {windowMs: 4_000, factor: 1.5, slack: 5};
+
 /** Statuses which state that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -173,6 +179,25 @@
     this.#report('FAILBACK', `${upstream} got ${count} requests in a second`);
   }
 
+  /** Checks how often a request that had crashed three upstreams reached one again,
+   * sent by daemons in touch. */
+  checkCrashes(path: string, retries: number): void {
+    if (retries <= MAX_CRASH_RETRIES) return;
+    this.#report('BUDGET', `${path} crashed upstreams in ${retries} retries`);
+  }
+
+  /** Checks the requests that an upstream with a stated limit got in the latest
+   * window, from daemons that had passed on the limit; times are in order. */
+  checkStatedLimit(upstream: string, times: readonly number[], perS: number) {
+    const {windowMs, factor, slack} = STATED_LIMIT;
+    const count = times.filter(at => at > this.now() - windowMs).length;
+    if (count <= (factor * perS * windowMs) / 1_000 + slack) return;
+    this.#report(
+      'LIMIT',
+      `${upstream} got ${count} requests in ${windowMs} ms`,
+    );
+  }
+
   /** Reports a daemon whose process ended by itself. */
   reportOwnEnd(daemon: string, {code, signal}: ProcessEnd): void {
     const cause = signal ?? `code ${code}`;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,11 +7,13 @@
   markDisrupted,
   pickFrom,
   pickRunningDaemon,
+  restartingIds,
   publish,
   runRecovery,
   stopDaemon,
 } from './harness.js';
 import type {FaultProxy, ProxyMode} from './proxy.js';
+import {RESTART_FAULTS} from './restart_faults.js';
 import {slowReaders} from './slow_readers.js';
 import {START_FAULTS} from './start_faults.js';
 import type {StoreMode} from './store_server.js';
@@ -75,9 +77,6 @@
   return upstream.name;
 }
 
-/** Identifiers of the incarnations that are being restarted. */
-const restartingIds = new Set<string>();
-
 function restartUpstream(
   harness: Harness,
   upstream: Upstream,
@@ -102,6 +101,7 @@
 /** Faults by kind. */
 export const FAULTS: Record<string, Fault> = {
   ...START_FAULTS,
+  ...RESTART_FAULTS,
   slowReaders,
   term(harness) {
     const {daemons, random} = harness;
--- a/soak/harness.ts
+++ b/soak/harness.ts
@@ -106,6 +106,9 @@
 /** Injects a fault; returns a description, or undefined if not possible. */
 export type Fault = (harness: Harness) => string | undefined;
 
+/** Identifiers of the incarnations of upstreams that are being restarted. */
+export const restartingIds = new Set<string>();
+
 /** Chooses an element of a list. */
 export function pickFrom<T>({random}: Harness, list: readonly T[]): T {
   return list[Math.floor(random() * list.length)];
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -18,6 +18,9 @@
 const SLOTS = 6;
 const QUEUE_LIMIT = 4;
 
+/** Service time of an upstream that states a limit, ms. */
+const LIMITED_SERVICE_MS = 640;
+
 /** Service times of requests, ms. */
 const SERVICE_TIME_MS = {shortest: 5, spread: 60};
 
@@ -44,6 +47,12 @@
 export class Upstream {
   losesAnswers = false;
   spoils?: Spoiling;
+  /** Called when a request begins to run; it gets no answer if it returns true. */
+  onRun?: (id: string, url: string) => boolean;
+  #slots = SLOTS;
+  /** Limit that its answers state, requests per second. */
+  #limit?: number;
+  #namesLimitInHealth = false;
   id = '';
   /** Requests that it works on, also once nobody waits for the answer. */
   readonly atWork = new Set<string>();
@@ -96,7 +105,7 @@
         service: this.service,
         version: 'v1',
         zone: this.zone,
-        slots: SLOTS,
+        slots: this.#slots,
       },
       status: {state, sequence: 1, cold_left: `${coldMs}ms`},
     });
@@ -108,6 +117,23 @@
     this.#drainingSince = this.now();
   }
 
+  /** States a limit in its answers, requests per second, and perhaps in those to
+   * health checks; it has this number of slots meanwhile. */
+  stateLimit(limit: number, slots: number, inHealth: boolean): void {
+    this.#limit = limit;
+    this.#slots = slots;
+    this.#namesLimitInHealth = inHealth;
+    this.#publishRecord('ready', 0);
+  }
+
+  /** States no limit any more. */
+  endLimit(): void {
+    this.#limit = undefined;
+    this.#slots = SLOTS;
+    this.onRun = undefined;
+    this.#publishRecord('ready', 0);
+  }
+
   /** Leaves without an announcement; it still serves requests. */
   leave(): void {
     this.removeRecord();
@@ -134,6 +160,7 @@
       const coldMs = Math.max(0, Math.round(this.#coldUntil - this.now()));
       res.setHeader('x-instance-id', this.id);
       res.setHeader('x-cold-ms', String(coldMs));
+      if (this.#namesLimitInHealth) this.#setLimit(res);
       return void res.writeHead(200).end();
     }
     let body = '';
@@ -143,12 +170,14 @@
     if (req.headers['x-expect-instance'] !== this.id) {
       return void res.writeHead(421, {'x-not-run': '1'}).end();
     }
-    if (this.#running >= SLOTS + QUEUE_LIMIT) {
+    this.#setLimit(res);
+    if (this.#running >= this.#slots + QUEUE_LIMIT) {
       return void res.writeHead(503, {'x-not-run': '1'}).end();
     }
     this.#checkArrival(id, req, body);
     this.#running++;
     this.atWork.add(id);
+    if (this.onRun?.(id, req.url ?? '')) return;
     const spoiling = this.random() < SPOILED_SHARE ? this.spoils : undefined;
     if (spoiling === 'stray') {
       this.atWork.delete(id);
@@ -157,7 +186,8 @@
     const deadlineMs = Number(req.headers['x-deadline-ms'] ?? Infinity);
     const ms = this.#selectServiceTime(deadlineMs);
     const isLate = ms > deadlineMs;
-    const workMs = Math.min(ms, deadlineMs);
+    const minMs = this.#limit === undefined ? 0 : LIMITED_SERVICE_MS;
+    const workMs = Math.min(Math.max(ms, minMs), deadlineMs);
     const incarnation = this.#incarnation;
     await new Promise(resolve => setTimeout(resolve, workMs));
     if (incarnation !== this.#incarnation) return;
@@ -180,6 +210,11 @@
     res.writeHead(200).end(text);
   }
 
+  #setLimit(res: ServerResponse): void {
+    if (this.#limit === undefined) return;
+    res.setHeader('server-limit', String(this.#limit));
+  }
+
   #selectServiceTime(deadlineMs: number): number {
     const isLong = this.random() < LONG_RUN_SHARE && deadlineMs < Infinity;
     const {shortest, spread} = SERVICE_TIME_MS;
