--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -9,12 +9,14 @@
   markDisrupted,
   pickFrom,
   pickRunningDaemon,
+  restartingIds,
   publish,
   runRecovery,
   stopDaemon,
 } from './harness.js';
 import {LOAD_FAULTS} from './load_faults.js';
 import type {FaultProxy, ProxyMode} from './proxy.js';
+import {RESTART_FAULTS} from './restart_faults.js';
 import {slowReaders} from './slow_readers.js';
 import {START_FAULTS} from './start_faults.js';
 import type {StoreMode} from './store_server.js';
@@ -120,9 +122,6 @@
   return upstream.name;
 }
 
-/** Identifiers of the incarnations that are being restarted. */
-const restartingIds = new Set<string>();
-
 function restartUpstream(
   harness: Harness,
   upstream: Upstream,
@@ -148,6 +147,7 @@
 export const FAULTS: Record<string, Fault> = {
   ...START_FAULTS,
   ...LOAD_FAULTS,
+  ...RESTART_FAULTS,
   slowReaders,
   cutAnswers,
   term(harness) {
