--- a/__tests__/cold_upstream.test.ts
+++ b/__tests__/cold_upstream.test.ts
@@ -186,12 +186,12 @@
   t.true(most > 2 * COLD_LIMIT, `${most} requests in one second`);
 });
 
-const WITHOUT_WORD: Record<string, (upstream: HarnessUpstream) => void> = {
+const UNCONFIRMED: Record<string, (upstream: HarnessUpstream) => void> = {
   'no answer': own => (own.ignoreHealthChecks = true),
   'a refused check': own => (own.health = {'x-not-run': '1'}),
 };
 
-for (const [answer, prepare] of Object.entries(WITHOUT_WORD)) {
+for (const [answer, prepare] of Object.entries(UNCONFIRMED)) {
   // Requests that the rate could not take waited until their deadline was near, and
   // health checks went on at 20 a second.
   test.serial(`a cold rate that lasts refuses early: ${answer}`, async t => {
--- a/src/core/concurrency_limiter.ts
+++ b/src/core/concurrency_limiter.ts
@@ -22,8 +22,8 @@
 
 /**
  * Requests that an upstream may get beyond the cold rate before it has to say again
- * that it is warm: seconds of that rate, and a number. In any second the users allow
- * one and a half times the rate and 5 more, of which 2 are left for health checks.
+ * that it is warm: seconds of that rate, and a number. A cold upstream bears one and
+ * a half times the rate and 5 more in any second, health checks among them.
  */
 const UNCONFIRMED_BURST = {rateS: 0.5, requests: 3};
 
@@ -88,7 +88,7 @@
   unconfirmed?: TokenBucket;
   /** True when the upstream did not say in time whether it is warm when last
    * asked. */
-  isWordMissing: boolean;
+  isConfirmationLate: boolean;
   /** Number of requests started so far. */
   started: number;
   /** Limit that the upstream states, requests per second. */
@@ -114,7 +114,7 @@
       ...createTokenBucket(DEFAULT_COLD_PER_S, COLD_BURST, now),
       tokens: 1,
     },
-    isWordMissing: false,
+    isConfirmationLate: false,
     started: 0,
     down: false,
     meanMs: INITIAL_MEAN_MS,
@@ -155,7 +155,7 @@
 ): void {
   if (!unconfirmed) {
     limiter.unconfirmed = undefined;
-    limiter.isWordMissing = false;
+    limiter.isConfirmationLate = false;
     return;
   }
   const {perS} = limiter.coldRate;
@@ -285,7 +285,7 @@
   const ahead = limiter.queue.filter(item => item.request.rank <= rank).length;
   // An upstream that answers is expected to say very soon that it is warm.
   const rates = listRates(limiter, now).filter(
-    rate => limiter.isWordMissing || rate !== limiter.unconfirmed,
+    rate => limiter.isConfirmationLate || rate !== limiter.unconfirmed,
   );
   const rateMs = computeRateWaitMs(rates, ahead + 1, now);
   const missing = Math.max(0, ahead + 1 - (limiter.slots - limiter.inFlight));
--- a/src/sidecar/upstream_health.ts
+++ b/src/sidecar/upstream_health.ts
@@ -52,8 +52,8 @@
   isAskingWarm: boolean;
   /** Monotonic time at which the last of these checks was sent, ms. */
   warmAskedAt: number;
-  /** True when the last check ended without the upstream's word whether it is cold,
-   * which it refused to give. */
+  /** True when the upstream refused the last check, which would have told whether it
+   * is cold. */
   mustAskCold: boolean;
   /** Monotonic time since which the copy of the store is fresh again, ms. */
   copyFreshSince?: number;
--- a/src/sidecar/warm_check.ts
+++ b/src/sidecar/warm_check.ts
@@ -20,9 +20,9 @@
  * ms: health checks are requests to a cold upstream, too. */
 const ASK_AGAIN_MS = 500;
 
-/** Time after which a health check that is not answered counts as without word, ms;
- * until then requests wait for it. */
-const WORD_LATE_MS = 100;
+/** Time after which a health check counts as not answered, ms; until then requests
+ * wait for it. */
+const CONFIRM_LATE_MS = 100;
 
 /** Heartbeats after which a fresh copy would tell of a cold upstream. */
 const LISTED_HEARTBEATS = 2;
@@ -53,7 +53,7 @@
     ? limiter.unconfirmed !== undefined
     : needsConfirmation(limiter, now);
   if (!isDue || checking || stopped || state.isAskingWarm) return;
-  const pauseMs = limiter.isWordMissing ? ASK_AGAIN_MS : ASK_PAUSE_MS;
+  const pauseMs = limiter.isConfirmationLate ? ASK_AGAIN_MS : ASK_PAUSE_MS;
   if (now < state.warmAskedAt + pauseMs) return;
   state.warmAskedAt = now;
   state.isAskingWarm = true;
@@ -78,11 +78,14 @@
   const {board} = state;
   const {limiter} = board;
   const startedThen = limiter.started;
-  const timer = setTimeout(() => (limiter.isWordMissing = true), WORD_LATE_MS);
+  const timer = setTimeout(
+    () => (limiter.isConfirmationLate = true),
+    CONFIRM_LATE_MS,
+  );
   const headers = await fetchHealth(state);
   clearTimeout(timer);
   const coldMs = headers && readColdMs(board, headers);
-  limiter.isWordMissing = coldMs === undefined;
+  limiter.isConfirmationLate = coldMs === undefined;
   if (coldMs === undefined) return;
   const now = board.now();
   if (coldMs > 0) {
