Soak: faults of the store do not end each other

Trace: unheardCold took the store down at 6.10 s, so that no daemon could hear that u2 was cold. splitReads had held the store's answers from 5.10 s on, and its end set the store to sound at 6.6 s: the daemons had fresh copies from then on (d2: copyCurrent, 75 ms old), while the stand-in wrote no record of its cold time, as it can't in an outage. So the stand-in broke the rule, not the daemon.

Of overlapping faults of the store the latest lasts until its own end now, and an outage in which an upstream turns cold is not replaced. The check is unchanged.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -30,11 +30,18 @@
 
 function injectStoreFault(harness: Harness, mode: StoreMode): string {
   const ms = 500 + 2_500 * harness.random();
-  harness.storeServer.mode = mode;
-  harness.disruptedUntil = harness.now() + ms;
+  const {storeServer} = harness;
+  const endsAt = harness.now() + ms;
+  // An outage in which an upstream turns cold is not replaced.
+  if (storeServer.modeEndsAt < Infinity) {
+    storeServer.mode = mode;
+    storeServer.modeEndsAt = endsAt;
+  }
+  harness.disruptedUntil = endsAt;
   runRecovery(harness, async () => {
     await delay(ms);
-    harness.storeServer.mode = 'sound';
+    // A later fault of the store lasts on.
+    if (storeServer.modeEndsAt === endsAt) storeServer.mode = 'sound';
     harness.disruptedUntil = Math.max(harness.disruptedUntil, harness.now());
   });
   return `${mode} for ${Math.round(ms)} ms`;
@@ -288,6 +295,7 @@
     if (!target || harness.storeServer.mode !== 'sound') return undefined;
     const {id} = target;
     harness.storeServer.mode = 'down';
+    harness.storeServer.modeEndsAt = Infinity;
     harness.disruptedUntil = Infinity;
     restartingIds.add(id);
     runRecovery(harness, async () => {
@@ -295,6 +303,7 @@
       const stopReads = startReads(harness, target);
       await delay(target.turnCold());
       harness.storeServer.mode = 'sound';
+      harness.storeServer.modeEndsAt = 0;
       harness.disruptedUntil = harness.now();
       await stopReads();
       restartingIds.delete(id);
--- a/soak/store_server.ts
+++ b/soak/store_server.ts
@@ -15,6 +15,9 @@
 /** HTTP server of the platform's store. */
 export interface StoreServer {
   mode: StoreMode;
+  /** Time at which the latest fault of the store ends, ms; it replaces those
+   * before. */
+  modeEndsAt: number;
   /** Closes the connections of the watches that wait. */
   cutWatches(): void;
   close(): Promise<void>;
@@ -93,6 +96,7 @@
   await listen(server, host, port);
   const storeServer: StoreServer = {
     mode: 'sound',
+    modeEndsAt: 0,
     cutWatches() {
       for (const res of watches) res.socket?.end();
     },
