Soak: requests of each kind expect the service that their daemon has now

Three kinds expected the service of the upstream at that address instead of the one in the daemon's settings. They use that one now, as the customers do.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -57,7 +57,7 @@
 /** Sends reads for the service of an upstream to the daemon beside it, until the
  * returned function is called; it resolves once all are answered. */
 function startReads(
-  {checker, daemons, upstreams, faults, now}: Harness,
+  {checker, daemons, upstreams, services, faults, now}: Harness,
   upstream: Upstream,
 ): () => Promise<void> {
   const daemon = daemons[upstreams.indexOf(upstream)];
@@ -72,10 +72,8 @@
       path: `/read-${service}/${n}`,
       body: '',
     };
-    checker.recordSent(
-      {...sent, idempotent: true, caller: service},
-      ROUTE_TIMEOUT_MS,
-    );
+    const caller = services.get(daemon.name) ?? '';
+    checker.recordSent({...sent, idempotent: true, caller}, ROUTE_TIMEOUT_MS);
     const answered = sendRequest(daemon, false, sent).then(answer => {
       const isRestarted = daemon.incarnation !== incarnation;
       const isDisrupted = daemon.isDisrupted(now()) || isRestarted;
--- a/soak/load_faults.ts
+++ b/soak/load_faults.ts
@@ -172,7 +172,7 @@
     for (const upstream of upstreams) {
       upstream.respond = id => id.startsWith(prefix);
     }
-    const caller = upstreams[harness.daemons.indexOf(daemon)].service;
+    const caller = harness.services.get(daemon.name) ?? '';
     const lines = Array.from(
       {length: HEAD_LINES},
       (_, i) => `h${i}: ${'x'.repeat(12)}`,
--- a/soak/restart_faults.ts
+++ b/soak/restart_faults.ts
@@ -54,11 +54,11 @@
 let isUnderWay = false;
 
 function send(
-  {checker, daemons, upstreams}: Harness,
+  {checker, services}: Harness,
   daemon: Daemon,
   {id, path, body}: {id: string; path: string; body: string},
 ): Promise<{status: number}> {
-  const caller = upstreams[daemons.indexOf(daemon)].service;
+  const caller = services.get(daemon.name) ?? '';
   const sent = {id, path, body, idempotent: body === '', caller};
   checker.recordSent(sent, CUSTOMER_DEADLINE_MS);
   return sendRequest(daemon, false, sent);
