--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -191,7 +191,7 @@
   }
 
   /** Checks how often a request that had crashed three upstreams reached one again,
-   * sent by daemons in touch. */
+   * sent by daemons that could hear of the crashes. */
   checkCrashes(path: string, retries: number): void {
     if (retries <= MAX_CRASH_RETRIES) return;
     this.#report('BUDGET', `${path} crashed upstreams in ${retries} retries`);
--- a/soak/restart_faults.ts
+++ b/soak/restart_faults.ts
@@ -11,8 +11,8 @@
   stopDaemon,
 } from './harness.js';
 
-/** Time after which a daemon that was disrupted is in touch again, ms. */
-const TOUCH_MS = 3_000;
+/** Time after which a daemon that was disrupted has the state of the others, ms. */
+const CATCH_UP_MS = 3_000;
 
 /** Time from a crash to the next attempt with the same request, ms; crashes closer
  * to each other than 500 ms count as one. */
@@ -96,7 +96,7 @@
         if (url !== path || restartingIds.has(upstreamId)) return false;
         restartingIds.add(upstreamId);
         crashes++;
-        if (crashes === 3) countsFrom = now() + TOUCH_MS;
+        if (crashes === 3) countsFrom = now() + CATCH_UP_MS;
         if (counted.has(id)) checker.checkCrashes(path, ++retries);
         runRecovery(harness, async () => {
           await upstream.crash();
@@ -166,7 +166,7 @@
       upstream.stateLimit(FIRST_LIMIT_PER_S, LIMITED_SLOTS, namesInHealth);
       if (await spreadLimit(harness, senders, sendOne)) {
         upstream.stateLimit(LIMIT_PER_S, LIMITED_SLOTS, namesInHealth);
-        await delay(TOUCH_MS);
+        await delay(CATCH_UP_MS);
         countsFrom = now();
         await restart(harness, owner);
         await delay(HEALTH_CHECK_MS);
