Log the copy behind each final refusal and the length of failed store calls

A 404 says neither how old the copy was that lacked the route, nor whether the daemon knew of an outage; sourceLost says neither how long the failed call took nor how old the copy is.

Lines of refusals as unknown route, unauthorised or stale view have the state and age of the copy and its revision. sourceLost and sourceRecovered have the time of the first failed call, the number of failed calls, the time since the first failure, age and revision. configInForce has the revision and age of the copy that brought the version. No decision changes.

--- a/__tests__/support/followers.ts
+++ b/__tests__/support/followers.ts
@@ -161,10 +161,9 @@
           else known.set(key, value.toString());
         }
       },
-      onFault: (err, first) => {
-        if (first) events.push(err.message);
+      onFault: ({error, isFirst}) => {
+        if (isFirst) events.push(error.message);
       },
-
       onError: err => events.push(err.message),
       onRecovered: () => events.push('recovered'),
       onRegained: () => events.push('regained'),
--- a/src/core/follower/deps.ts
+++ b/src/core/follower/deps.ts
@@ -45,19 +45,36 @@
   readonly ageMs: number;
 }
 
+/** A failed call to the store. */
+export interface StoreFault {
+  readonly error: Error;
+  /** True when the call before succeeded. */
+  readonly isFirst: boolean;
+  /** Time from the start of the call to its failure, ms. */
+  readonly elapsedMs: number;
+  /** Time for which the store has been unavailable, ms. */
+  readonly outageMs: number;
+}
+
+/** The end of a series of failed calls to the store. */
+export interface StoreRecovery {
+  readonly failedCalls: number;
+  /** Time from the first failure to the answer, ms. */
+  readonly elapsedMs: number;
+}
+
 /** Dependencies of a store follower. */
 export interface FollowerDeps extends ReadDeps {
   readonly peers: StorePeers;
   /** Handles the changes of one call, which may be none; `replaced` is the position
    * of the copy if one of a later era has just replaced it. */
   readonly onChanges: (changes: KeyChange[], replaced?: StorePosition) => void;
-  /** A call to the store failed; `first` when the one before succeeded. The store
-   * has been unavailable for `outageMs`. */
-  readonly onFault: (err: Error, first: boolean, outageMs: number) => void;
+  /** A call to the store failed. */
+  readonly onFault: (fault: StoreFault) => void;
   /** A source or a handler has thrown; the follower goes on. */
   readonly onError: (err: Error) => void;
   /** The store answers this daemon again. */
-  readonly onRecovered: () => void;
+  readonly onRecovered: (recovery: StoreRecovery) => void;
   /** The copy is fresh again after a fault, from any source; the store was
    * unavailable for `outageMs`. */
   readonly onRegained: (outageMs: number) => void;
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -88,7 +88,10 @@
   era: number;
   /** True once the store was found in a later era, until all items are known. */
   knowsLaterEra: boolean;
-  faulty: boolean;
+  /** Failed calls to the store since its last answer. */
+  failedCalls: number;
+  /** Monotonic time of the first of them, ms. */
+  failingSince: number;
   stale: boolean;
   confirmedAt: number;
   /** Monotonic time at which the copy last matched the store, however old it was
@@ -114,7 +117,8 @@
     needsAllItems: false,
     era: deps.mirror.era,
     knowsLaterEra: false,
-    faulty: false,
+    failedCalls: 0,
+    failingSince: -Infinity,
     stale: false,
     confirmedAt: -Infinity,
     matchedAt: undefined,
@@ -233,8 +237,7 @@
       : watchChanges(deps, waitMs));
     if (state.stopped) return false;
     state.avoided.delete(own);
-    if (state.faulty) deps.onRecovered();
-    state.faulty = false;
+    recordAnswer(state);
     if (typeof result === 'string') {
       const isReader = state.source === own;
       const isFirst = result === 'laterEra' && !state.knowsLaterEra;
@@ -263,20 +266,31 @@
     // The store holds no full read.
     const heldMs = wasFullRead ? 0 : waitMs;
     const unanswered = elapsedMs > heldMs + LATE_MS;
-    state.unavailable ||= state.faulty || unanswered;
+    const isFirst = state.failedCalls === 0;
+    state.unavailable ||= !isFirst || unanswered;
     // An overloaded daemon cannot tell a missing answer from one that it is late
     // to read.
     if (state.unavailable && !(unanswered && deps.isOverloaded())) {
       state.lost = true;
     }
-    deps.onFault(err as Error, !state.faulty, readOutage(state));
-    state.faulty = true;
+    if (isFirst) state.failingSince = deps.now();
+    state.failedCalls++;
+    const outageMs = readOutage(state);
+    deps.onFault({error: err as Error, isFirst, elapsedMs, outageMs});
     return false;
   } finally {
     clearTimeout(peerFallback);
   }
 }
 
+/** Ends a series of failed calls. */
+function recordAnswer(state: FollowerState): void {
+  const {deps, failedCalls, failingSince} = state;
+  if (failedCalls === 0) return;
+  state.failedCalls = 0;
+  deps.onRecovered({failedCalls, elapsedMs: deps.now() - failingSince});
+}
+
 function handleChanges(state: FollowerState, changes: KeyChange[]): void {
   const {mirror, onChanges} = state.deps;
   const {era, replaced} = mirror;
--- a/src/sidecar/board.ts
+++ b/src/sidecar/board.ts
@@ -279,6 +279,9 @@
   overdue: 'copyOverdue',
 };
 
+/** Largest time in a log line, ms; one that has never begun is written so. */
+export const MAX_LOGGED_MS = 1_000_000;
+
 /** Logs when the copy becomes too old, or current again, and whether requests
  * are refused meanwhile. */
 export function logCopyChange(board: SidecarBoard): void {
@@ -289,8 +292,8 @@
   const {ageMs, outageToldAgoMs, heardAgoMs, lagMs} = status;
   board.log.write('always', COPY_DECISIONS[state], {
     ageMs: Math.round(ageMs),
-    outageToldAgoMs: Math.round(Math.min(outageToldAgoMs, 1e6)),
-    heardAgoMs: Math.round(Math.min(heardAgoMs, 1e6)),
+    outageToldAgoMs: Math.round(Math.min(outageToldAgoMs, MAX_LOGGED_MS)),
+    heardAgoMs: Math.round(Math.min(heardAgoMs, MAX_LOGGED_MS)),
     lagMs: Math.round(lagMs),
     ...readPosition(board),
   });
--- a/src/sidecar/finish.ts
+++ b/src/sidecar/finish.ts
@@ -3,6 +3,7 @@
   API_KEY_CHALLENGE,
   OUTCOMES,
   type Outcome,
+  classifyCopy,
   count,
   countOrganisationEnd,
   formatReason,
@@ -10,7 +11,13 @@
   recordRefusedCall,
 } from '../internal.js';
 import {writeAnswer} from './answer_writer.js';
-import type {SidecarBoard} from './board.js';
+import {
+  MAX_LOGGED_MS,
+  type SidecarBoard,
+  readCopyStatus,
+  readPosition,
+} from './board.js';
+import type {LineFields} from './decision_log.js';
 import type {EntryState, Exchange} from './exchange.js';
 import {copyAnswerHeaders} from './header_copy.js';
 import type {HttpAnswer} from './http_client.js';
@@ -241,6 +248,25 @@
   });
 }
 
+/** Outcomes that follow from the copy of the store alone. */
+const COPY_OUTCOMES: ReadonlySet<Outcome | 'cancelled'> = new Set([
+  'unknownRoute',
+  'unauthorised',
+  'staleView',
+] as const);
+
+/** What the daemon knew of the age of its copy, for the line of a refusal. */
+function describeCopy(board: SidecarBoard): LineFields {
+  const status = readCopyStatus(board);
+  const {ageMs, outageToldAgoMs} = status;
+  return {
+    copy: classifyCopy(status),
+    copyAgeMs: Math.round(Math.min(ageMs, MAX_LOGGED_MS)),
+    outageToldAgoMs: Math.round(Math.min(outageToldAgoMs, MAX_LOGGED_MS)),
+    ...readPosition(board),
+  };
+}
+
 /** Logs the end of a request; `cancelled` when the customer disconnected. */
 export function logRequest(
   {board}: EntryState,
@@ -260,7 +286,7 @@
     route: route?.name,
     organisation: organisation?.name,
     keyFault: exchange.keyFault,
-    copyAgeMs: exchange.keyFault && Math.round(board.readMirrorAge()),
+    ...(COPY_OUTCOMES.has(outcome) && describeCopy(board)),
     service: exchange.service,
     version: exchange.version,
     upstream: exchange.upstreamId,
--- a/src/sidecar/store_updates.ts
+++ b/src/sidecar/store_updates.ts
@@ -92,6 +92,8 @@
     routes,
     organisations,
     sharedKeys: countSharedKeys(board.table.keys) || undefined,
+    ...readPosition(board),
+    ageMs: roundAge(board),
     ...(isRewritten && {rewritten: true}),
   });
 }
@@ -153,19 +155,32 @@
     recordListFault(list, now());
   };
   return {
-    onFault(err, first, outageMs) {
+    onFault({error, isFirst, elapsedMs, outageMs}) {
       recordOutage(outageMs);
       count(board, 'source_faults');
-      if (first) log.write('always', 'sourceLost', {reason: err.message});
+      recordLatency(board.metrics, 'store_call_failed', elapsedMs);
+      if (isFirst) {
+        log.write('always', 'sourceLost', {
+          reason: error.message,
+          elapsedMs: Math.round(elapsedMs),
+          ageMs: roundAge(board),
+          ...readPosition(board),
+        });
+      }
       answerPendingPolls(board);
     },
     onError(err) {
       count(board, 'source_errors');
       log.write('notable', 'sourceError', {error: err.message});
     },
-    onRecovered() {
+    onRecovered({failedCalls, elapsedMs}) {
       count(board, 'source_recovered');
-      log.write('always', 'sourceRecovered', {});
+      log.write('always', 'sourceRecovered', {
+        failedCalls,
+        elapsedMs: Math.round(elapsedMs),
+        ageMs: roundAge(board),
+        ...readPosition(board),
+      });
     },
     // The platform has yet to restore list entries that expired in the outage.
     onRegained: recordOutage,
