Move calls to the store and the follower's state to files of their own

store_follow.ts chooses sources; follower/store_call.ts makes one call to the store, waits for it or goes on without it, and records its answer or failure; follower/state.ts has what both change.

--- a/src/internal.ts
+++ b/src/internal.ts
@@ -73,6 +73,7 @@
 export * from './core/store_mirror.js';
 export * from './core/store_reads.js';
 export * from './core/follower/deps.js';
+export * from './core/follower/store_call.js';
 export * from './core/store_follow.js';
 export * from './core/poll_turnaround.js';
 export * from './core/staleness.js';
