Hang the store in the soak, and check copies for writes that are due

The daemons answer 503 instead of 404 for a path that an old copy does not have, so the probes for versions would no longer see a daemon that is late: copies.ts now reports a copy that lacks a write later than the same bound, at a daemon that has recovered.

stale_copy.test.ts asks the same of 413, which follows from the limits of the configuration.

--- a/__tests__/soak.test.ts
+++ b/__tests__/soak.test.ts
@@ -66,6 +66,11 @@
     ...{name: 'a store that comes back older', seed: 1, kinds: ['storeDrill']},
     ...{seconds: 2, connections: 1},
   },
+  {
+    // Issue 63: daemons waited for calls that an outage had left unanswered.
+    ...{name: 'a store that hangs', seed: 1, kinds: ['storeHangs', 'config']},
+    ...{seconds: 5, connections: 1},
+  },
 ];
 
 for (const {name, seed, kinds, seconds, connections} of RUNS) {
--- a/__tests__/stale_copy.test.ts
+++ b/__tests__/stale_copy.test.ts
@@ -9,6 +9,10 @@
 /** Time after which a read of the store without an answer fails, ms. */
 const STORE_TIMEOUT_MS = 500;
 
+/** Limits of the harness's configuration, bytes. */
+const LIMIT_BYTES = 4_096;
+const BODY_LIMIT_BYTES = 10_000;
+
 /** What the peer does with requests, by kind. */
 interface PeerBehaviour {
   /** Age in its answers to polls, ms; undefined: polls get no answer. */
@@ -102,12 +106,17 @@
 
 // A daemon that served on by an old copy refused a route with 404, which is final
 // for customers, three seconds after the store had confirmed the version with it.
-test.serial('an old copy calls no path unknown for good', async t => {
+test.serial('an old copy refuses nothing for good', async t => {
   const peer = {pollAgeMs: 60_000, answers: true, tells: 'polls'} as const;
   const {harness} = await startStale(t, peer);
   const {status, headers} = await harness.send(0, {path: '/added/1'});
   t.is(status, 503);
   t.true(Number(headers['retry-after']) > 0);
+  // A later version may raise the limits too.
+  const large = {headers: {'x-pad': 'a'.repeat(LIMIT_BYTES)}};
+  t.is((await harness.send(0, large)).status, 503);
+  const body = 'a'.repeat(BODY_LIMIT_BYTES + 1);
+  t.is((await harness.send(0, {method: 'POST', body})).status, 503);
   // What the copy allows is served on.
   t.is((await harness.send(0)).status, 200);
   // The line tells an old copy from one that lacks the route in error.
@@ -117,7 +126,11 @@
   t.regex(findLine() ?? '', /"copy":"old","copyAgeMs":\d{4,}/);
 });
 
-test.serial('a current copy calls an unknown path unknown', async t => {
+test.serial('a current copy refuses what it does not allow', async t => {
   const harness = await startHarness(t, ['dc1']);
   t.is((await harness.send(0, {path: '/added/1'})).status, 404);
+  const large = {headers: {'x-pad': 'a'.repeat(LIMIT_BYTES)}};
+  t.is((await harness.send(0, large)).status, 413);
+  const body = 'a'.repeat(BODY_LIMIT_BYTES + 1);
+  t.is((await harness.send(0, {method: 'POST', body})).status, 413);
 });
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -238,6 +238,12 @@
     this.#report('COPY', `${daemon} has ${detail}`);
   }
 
+  /** Reports a daemon whose copy lacks a write that was due `lateMs` ago. */
+  reportLateCopy(daemon: string, revision: number, lateMs: number): void {
+    const detail = `at revision ${revision}, ${lateMs} ms late`;
+    this.#report('CONFIG', `${daemon} has a copy ${detail}`);
+  }
+
   /** Reports a daemon that has not applied a version in time. */
   reportOutdated(daemon: string, version: number, expected: number): void {
     this.#report('CONFIG', `${daemon} is at ${version}, not at ${expected}`);
--- a/soak/copies.ts
+++ b/soak/copies.ts
@@ -9,9 +9,8 @@
   type StoreEvent,
 } from '../src/internal.js';
 import {STATE_PATH} from '../src/sidecar/peer_state.js';
-import type {FakeStore} from '../standins/kv_store.js';
-import type {Checker} from './checker.js';
-import {type Daemon, PORTS} from './daemons.js';
+import {type Daemon, PORTS, RECOVERY_MS} from './daemons.js';
+import type {Harness} from './harness.js';
 
 /** Interval at which the copy of each daemon is read, ms. */
 const READ_INTERVAL_MS = 250;
@@ -30,15 +29,13 @@
 
 /**
  * Reads the daemons' copies of the store and checks that each is as old as it
- * says at most, and holds what the store held at its revision; returns a stop
- * function. Holds at any load, and during all faults.
+ * says at most, and holds what the store held at its revision; that holds at any
+ * load, and during all faults. A daemon that has recovered from them must hold a
+ * write after the bound for versions too, whatever its copy says. Returns a stop
+ * function.
  */
-export function checkCopies(
-  daemons: readonly Daemon[],
-  store: FakeStore,
-  checker: Checker,
-  now: () => number,
-): () => void {
+export function checkCopies(harness: Harness): () => void {
+  const {daemons, store, checker, now} = harness;
   const eras = new Map<number, Era>([[0, {history: [], endedAt: Infinity}]]);
   store.onDrill = events => {
     const last = eras.get(store.era - 1);
@@ -71,6 +68,13 @@
       const figures = `${Math.round(oldestMs)} ms old, says ${ageMs} ms`;
       checker.reportCopy(daemon.name, `revision ${state.revision}, ${figures}`);
     }
+    const recoveredAt =
+      Math.max(daemon.disruptedAt, harness.disruptedUntil) + RECOVERY_MS;
+    const dueAt = Math.max(outdatedAt + harness.configLimitMs, recoveredAt);
+    if (askedAt > dueAt) {
+      const lateMs = Math.round(askedAt - dueAt);
+      checker.reportLateCopy(daemon.name, state.revision, lateMs);
+    }
     for (const key of findWrongKeys(state, history)) {
       checker.reportCopy(daemon.name, `revision ${state.revision}, ${key}`);
     }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -196,6 +196,17 @@
     return daemon ? `${daemon.name} restarts` : 'no restart';
   },
   storeHeld: harness => injectStoreFault(harness, 'held'),
+  storeHangs(harness) {
+    const fault = injectStoreFault(harness, 'hung');
+    const {modeEndsAt} = harness.storeServer;
+    if (modeEndsAt === Infinity) return fault;
+    // The daemons learn of it by their first calls after the outage only.
+    runRecovery(harness, async () => {
+      await delay(modeEndsAt - harness.now());
+      publish(harness);
+    });
+    return fault;
+  },
   storeDrill,
   storeForgets(harness) {
     harness.store.compact();
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -80,7 +80,7 @@
   };
   process.once('exit', killDaemons);
   const {daemons, checker, services, random, trafficRandom, now} = harness;
-  const stopCopies = checkCopies(daemons, harness.store, checker, now);
+  const stopCopies = checkCopies(harness);
   const stopMemory = checkMemory(daemons, checker);
   let largestMb = 0;
   try {
--- a/soak/store_server.ts
+++ b/soak/store_server.ts
@@ -3,7 +3,7 @@
 import {listen} from './proxy.js';
 
 /** Fault modes of the store, the same for all daemons. */
-export type StoreMode = 'sound' | 'down' | 'slow' | 'lossy' | 'held';
+export type StoreMode = 'sound' | 'down' | 'slow' | 'lossy' | 'held' | 'hung';
 
 /** Delay of each answer in mode `slow`, ms. */
 const SLOW_ANSWER_DELAY_MS = 300;
@@ -55,6 +55,8 @@
     };
     stateEra();
     if (isMode('down')) return void res.writeHead(503).end();
+    // Such a call gets no answer later either.
+    if (isMode('hung')) return;
     let body: object;
     if (url.pathname === '/api/kv-range') {
       const after = query.get('after') ?? undefined;
@@ -88,7 +90,7 @@
     }
     if (isMode('down')) return void res.destroy();
     // A dropped answer leaves the connection open and silent.
-    if (isMode('lossy') && random() < 0.5) return;
+    if (isMode('hung') || (isMode('lossy') && random() < 0.5)) return;
     res.end(JSON.stringify(body));
   };
   const server = createServer((req, res) => {
