--- a/__tests__/store_follow.test.ts
+++ b/__tests__/store_follow.test.ts
@@ -245,8 +245,9 @@
       const trueMs = now - (writtenAt[missed] ?? now);
       worstMs = Math.max(worstMs, trueMs - follow.readAge());
       const isServing = follow.readAge() <= MAX_COPY_AGE_MS;
-      if (name !== reader.name)
-        {t.true(isServing, `${name}: ${follow.readAge()}`);}
+      if (name !== reader.name) {
+        t.true(isServing, `${name}: ${follow.readAge()}`);
+      }
     }
   });
   t.true(worstMs <= 0, `${worstMs} ms older`);
