End the pause behind a poll when the next call to the store is due

Callers would see a version late: while the store gave no answer, or refused calls, a daemon called it up to 2,100 ms apart with half of the others silent: a pause of 1.5 s, a poll of a silent daemon of 0.4 s and 0.3 s behind it. A version must be in force 2 s after the store has accepted it.

--- a/__tests__/store_hangs.test.ts
+++ b/__tests__/store_hangs.test.ts
@@ -36,14 +36,21 @@
 interface TroubledStore {
   hangs: boolean;
   delayMs: number;
+  /** Called at the start of each call of a daemon. */
+  onCall?: (daemon: string) => void;
 }
 
 /** The store as the client of the platform shows it, with its timeouts. */
-function createView(store: FakeStore, trouble: TroubledStore): KeyValueStore {
+function createView(
+  store: FakeStore,
+  trouble: TroubledStore,
+  daemon: string,
+): KeyValueStore {
   const call = async <T>(
     timeoutMs: number,
     answer: () => Promise<T>,
   ): Promise<T> => {
+    trouble.onCall?.(daemon);
     const startedAt = performance.now();
     const fail = async (): Promise<never> => {
       await wait(startedAt + timeoutMs - performance.now());
@@ -80,7 +87,7 @@
   const trouble: TroubledStore = {hangs: false, delayMs: ANSWER_MS};
   const names = Array.from({length: count}, (_, i) => `d${i}`);
   const daemons = startDaemons(t, names, store, {
-    watchStore: () => createView(store, trouble),
+    watchStore: name => createView(store, trouble, name),
     random,
   });
   return {clock, store, trouble, daemons};
@@ -119,6 +126,36 @@
   });
 }
 
+for (const mode of ['hangs', 'refuses calls'] as const) {
+  // Polls of silent daemons, and pauses behind them, kept daemons from the next
+  // call to the store: news of its return came that much later.
+  test.serial(
+    `calls are at most 2 s apart while the store ${mode}`,
+    async t => {
+      for (const count of [1, 2, 6]) {
+        const fleet = startFleet(t, count, () => 0.999);
+        const {clock, store, trouble, daemons} = fleet;
+        await clock.tickAsync(12_000);
+        for (const [i, daemon] of daemons.entries()) daemon.silent = i % 2 > 0;
+        const calledAt = new Map<string, number>();
+        let longestMs = 0;
+        trouble.onCall = name => {
+          const now = performance.now();
+          longestMs = Math.max(longestMs, now - (calledAt.get(name) ?? now));
+          calledAt.set(name, now);
+        };
+        if (mode === 'hangs') trouble.hangs = true;
+        else store.down = true;
+        await clock.tickAsync(60_000);
+        t.is(calledAt.size, count);
+        t.true(longestMs <= IN_FORCE_MS, `${count} daemons: ${longestMs} ms`);
+        for (const {follow} of daemons) follow.stop();
+        clock.uninstall();
+      }
+    },
+  );
+}
+
 for (const [name, count, random] of [
   ['random pauses', 12, createRandom(63)],
   ['longest pauses', 4, () => 0.999],
--- a/src/core/follower/state.ts
+++ b/src/core/follower/state.ts
@@ -43,12 +43,16 @@
 }
 
 /** True while a daemon, or the store for the own address, is not to be asked. */
-export function isAvoided(
+export function isAvoided(state: FollowerState, address: string): boolean {
+  return readAvoidedMs(state, address) > 0;
+}
+
+/** Time until a source may be asked again, ms; 0 or less when it may be now. */
+export function readAvoidedMs(
   {avoided, deps}: FollowerState,
   address: string,
-): boolean {
-  const entry = avoided.get(address);
-  return entry !== undefined && deps.now() < entry.until;
+): number {
+  return (avoided.get(address)?.until ?? -Infinity) - deps.now();
 }
 
 /** Delays the next call to a source by a growing backoff, which counts from `since`,
--- a/src/core/store_follow.ts
+++ b/src/core/store_follow.ts
@@ -7,6 +7,7 @@
   isAvoided,
   markFresh,
   markMatched,
+  readAvoidedMs,
   type FollowerState,
 } from './follower/state.js';
 import {readStore} from './follower/store_call.js';
@@ -227,7 +228,9 @@
     address === undefined ? undefined : await peers.ask(address, after, 0);
   if (state.stopped) return;
   if (update && update !== 'declined') applyPeerUpdate(state, update, after);
-  await pause(NO_SOURCE_PAUSE_MS);
+  // The next call to the store may be due sooner.
+  const dueMs = readAvoidedMs(state, peers.own);
+  await pause(Math.max(0, Math.min(NO_SOURCE_PAUSE_MS, dueMs)));
 }
 
 function pause(ms: number): Promise<void> {
