Decide final refusals of the entry in one function

checkHead made a closure for each request, and two other places repeated its body. No decision changes; stale_copy and organisation_requests pass.

--- a/src/sidecar/head.ts
+++ b/src/sidecar/head.ts
@@ -24,6 +24,11 @@
 /** Maximum share of a deadline that is reserved for sending the answer. */
 const ANSWER_MARGIN_SHARE = 0.1;
 
+/** Outcome of a request that the configuration does not allow. */
+function refuse(board: SidecarBoard, outcome: Outcome): Outcome {
+  return refuseByCopy(outcome, board.readMirrorAge());
+}
+
 /** Checks the request head and sets the fields that depend on the route;
  * returns an outcome when the request is refused. */
 export function checkHead(
@@ -33,10 +38,8 @@
 ): Outcome | undefined {
   const {req} = exchange;
   const {headers, rawHeaders} = req;
-  const refuse = (outcome: Outcome): Outcome =>
-    refuseByCopy(outcome, board.readMirrorAge());
   if (measureHead(req) > table.config.limits.headerBytes) {
-    return refuse('tooLarge');
+    return refuse(board, 'tooLarge');
   }
   if (exchange.id === '') return 'badRequest';
   // The HTTP client does not send it, as if the upstream were down.
@@ -44,7 +47,7 @@
   const target = req.url ?? '';
   const route = findRoute(table, headers.host ?? '', target);
   exchange.version = table.config.version;
-  if (!route) return refuse('unknownRoute');
+  if (!route) return refuse(board, 'unknownRoute');
   exchange.route = route;
   const refusal = checkOrganisation(board, exchange, table, route);
   if (refusal) return refusal;
@@ -102,7 +105,7 @@
   exchange.rank = organisation?.rank ?? route.rank;
   if (organisation || route.public) return undefined;
   exchange.keyFault = fault;
-  return refuseByCopy('unauthorised', board.readMirrorAge());
+  return refuse(board, 'unauthorised');
 }
 
 /** Reads the body within the configured limit and the free memory; returns an
@@ -120,9 +123,7 @@
   try {
     const body = await readCountedBody(bodies, hold, req, limitBytes);
     if (body === 'full') count(state.board, 'entry_refused_body_memory');
-    return body === 'tooLarge'
-      ? refuseByCopy(body, state.board.readMirrorAge())
-      : body;
+    return body === 'tooLarge' ? refuse(state.board, body) : body;
   } catch {
     // The customer disconnected; the close of the response ends the exchange.
     exchange.ended = true;
