Let the soak run on until copies can be checked after the last outage

The check of copies for writes that are due could not fail in a run of storeHangs alone: daemons count as recovered 3 s after an outage, outages come every second, and the run ended with the last one.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {ROUTE_TIMEOUT_MS, sendRequest} from './customers.js';
 import {cutAnswers} from './cut_answers.js';
+import {RECOVERY_MS} from './daemons.js';
 import {
   BOUNDS,
   type Fault,
@@ -25,6 +26,10 @@
 import type {StoreMode} from './store_server.js';
 import type {Spoiling, Upstream} from './upstream.js';
 
+/** Time for which copies are checked once the daemons count as recovered from the
+ * last outage, ms. */
+const CHECKED_MS = 1_000;
+
 /** Data centres of the daemons. */
 export const ZONES = ['z1', 'z2', 'z3'];
 
@@ -204,6 +209,8 @@
     runRecovery(harness, async () => {
       await delay(modeEndsAt - harness.now());
       publish(harness);
+      // The run goes on until the copies can be checked after the last outage.
+      await delay(RECOVERY_MS + CHECKED_MS);
     });
     return fault;
   },
