--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -251,6 +251,8 @@
       coldPerS: 23,
       beatMs: 870,
       coldMs: 0,
+      /** Time by which the clock of the machine is ahead, ms. */
+      clockMs: 0,
       work: () => 50,
       onRun: () => {},
       ...options,
@@ -265,7 +267,7 @@
   }
 
   async start() {
-    this.born = Date.now();
+    this.born = Date.now() + this.clockMs;
     this.sequence = 0;
     this.running = 0;
     this.queue = [];
