--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -693,6 +693,12 @@
   const machines = [];
   const closers = [];
   const store = new Store();
+  for (const name of ['SIGINT', 'SIGTERM']) {
+    process.once(name, () => {
+      for (const machine of machines) machine.signal('SIGKILL');
+      process.exit(2);
+    });
+  }
   let code = 2;
   try {
     recorder.say(`trouble: ${trouble}`);
